Add build, shared types, packet and frame codecs, placement tables

Cause: the repository was empty; every module needs common types, error kinds, message formats and a build that checks format, lint and tests.

Change: CMake presets (release, debug with sanitizers), package list, scripts, Qt format and lint rules; core types, error table, IPv4 packet parser and builder, data frames (Boost.Endian), control messages (CBOR), placement tables (weighted rendezvous, and consistent hashing as the baseline), interfaces of Balancer and Agent, and the design page.

Conclusion: the parts can be built in parallel against these interfaces.

--- /dev/null
+++ b/core/placement.cpp
@@ -0,0 +1,107 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include <xxhash.h>
+
+namespace cactusdeck {
+
+namespace {
+
+std::uint64_t hashOf(const NodeId &id, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), seed);
+}
+
+// Mixes a member's hash with a bucket; cheaper than hashing the name again for each bucket.
+std::uint64_t mix(std::uint64_t value, std::uint64_t bucket)
+{
+    value ^= bucket * 0x9E3779B97F4A7C15ull;
+    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ull;
+    value = (value ^ (value >> 27)) * 0x94D049BB133111EBull;
+    return value ^ (value >> 31);
+}
+
+struct Scored
+{
+    double score;
+    std::uint16_t index;
+};
+
+// Keeps the best members in out, by score and then by index, so that ties are the same everywhere.
+void selectBest(std::vector<Scored> &scored, std::span<std::uint16_t> out)
+{
+    const auto better = [](const Scored &a, const Scored &b) {
+        return a.score != b.score ? a.score > b.score : a.index < b.index;
+    };
+    std::partial_sort(scored.begin(), scored.begin() + std::ptrdiff_t(out.size()), scored.end(),
+                      better);
+    for (std::size_t i = 0; i < out.size(); ++i)
+        out[i] = scored[i].index;
+}
+
+void orderByRendezvous(std::span<const Member> members, Bucket bucket, std::span<std::uint16_t> out)
+{
+    std::vector<Scored> scored(members.size());
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const std::uint64_t hash = mix(hashOf(members[i].id, 0), bucket);
+        // Uniform in (0, 1); the weight then gives each member its share of buckets.
+        const double uniform = (double(hash >> 11) + 0.5) * 0x1p-53;
+        scored[i] = { -double(members[i].weight) / std::log(uniform), std::uint16_t(i) };
+    }
+    selectBest(scored, out);
+}
+
+constexpr std::uint64_t ringPoints = 64; // per member
+
+void orderOnRing(std::span<const Member> members, Bucket bucket, std::span<std::uint16_t> out)
+{
+    std::vector<Scored> scored(members.size());
+    const std::uint64_t position = mix(0, std::uint64_t(bucket) + 1);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const std::uint64_t hash = hashOf(members[i].id, 1);
+        std::uint64_t distance = UINT64_MAX;
+        for (std::uint64_t point = 0; point < ringPoints; ++point)
+            distance = std::min(distance, mix(hash, point) - position);
+        scored[i] = { -double(distance), std::uint16_t(i) };
+    }
+    selectBest(scored, out);
+}
+
+} // namespace
+
+const PlacementStrategy weightedRendezvous = { "weighted_rendezvous", orderByRendezvous };
+const PlacementStrategy consistentHashing = { "consistent_hashing", orderOnRing };
+
+TableDigest digestOf(std::span<const Member> sortedMembers)
+{
+    std::uint64_t digest = sortedMembers.size();
+    for (const Member &member : sortedMembers)
+        digest = mix(digest ^ hashOf(member.id, 2), member.weight);
+    return TableDigest(digest);
+}
+
+PlacementTable::PlacementTable(std::vector<Member> members, const PlacementStrategy &strategy)
+    : memberList(std::move(members))
+{
+    std::sort(this->memberList.begin(), this->memberList.end(),
+              [](const Member &a, const Member &b) { return a.id < b.id; });
+    this->tableDigest = digestOf(this->memberList);
+    this->depth = std::min(this->memberList.size(), maxHops);
+    this->orders.resize(this->depth * bucketCount);
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        strategy.order(this->memberList, Bucket(bucket),
+                       std::span(this->orders).subspan(bucket * this->depth, this->depth));
+    }
+}
+
+bool PlacementTable::isHome(Bucket bucket, const NodeId &id) const
+{
+    const auto homes = this->order(bucket).first(std::min(this->depth, homeAgents));
+    return std::any_of(homes.begin(), homes.end(),
+                       [&](std::uint16_t index) { return this->memberList[index].id == id; });
+}
+
+} // namespace cactusdeck
--- /dev/null
+++ b/core/placement.h
@@ -0,0 +1,71 @@
+#ifndef CACTUSDECK_CORE_PLACEMENT_H
+#define CACTUSDECK_CORE_PLACEMENT_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "core/frame.h"
+#include "core/message.h"
+#include "core/types.h"
+
+// Which agents a bucket of a service is placed on, as a pure function of the members.
+//
+//     PlacementTable table({ { NodeId{ "a1" }, 4 }, { NodeId{ "a2" }, 1 } });
+//     for (std::uint16_t index : table.order(bucket))      // best agent first
+//         use(table.members()[index]);
+//
+// Members may be given in any order: two nodes that know the same members and weights build equal
+// tables with equal digests.
+
+namespace cactusdeck {
+
+// The first agents of a bucket's order, between which new flows are balanced. Two choices suffice
+// to level load, and each further one would cost a pass on the lookup of an uncached flow.
+inline constexpr std::size_t homeAgents = 2;
+
+// How a table orders members for a bucket. Strategies are constant objects.
+struct PlacementStrategy
+{
+    std::string_view name;
+    // Writes the indexes of the best members for the bucket, best first; out is at most as long as
+    // members.
+    void (*order)(std::span<const Member> members, Bucket bucket, std::span<std::uint16_t> out);
+};
+
+// Weighted rendezvous hashing: moves only the buckets of members that join, leave or change weight.
+extern const PlacementStrategy weightedRendezvous;
+// Plain consistent hashing on a ring without weights; kept as the baseline of measurements.
+extern const PlacementStrategy consistentHashing;
+
+class PlacementTable
+{
+public:
+    PlacementTable() = default;
+    explicit PlacementTable(std::vector<Member> members,
+                            const PlacementStrategy &strategy = weightedRendezvous);
+
+    // Sorted by id.
+    const std::vector<Member> &members() const { return this->memberList; }
+    TableDigest digest() const { return this->tableDigest; }
+    // Indexes into members(), best first, at most maxHops.
+    std::span<const std::uint16_t> order(Bucket bucket) const
+    {
+        return { this->orders.data() + std::size_t(bucket) * this->depth, this->depth };
+    }
+    bool isHome(Bucket bucket, const NodeId &id) const;
+
+private:
+    std::vector<Member> memberList;
+    std::vector<std::uint16_t> orders;
+    std::size_t depth = 0;
+    TableDigest tableDigest = 0;
+};
+
+// The digest that a table of these members has, without building it.
+TableDigest digestOf(std::span<const Member> sortedMembers);
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_CORE_PLACEMENT_H
--- /dev/null
+++ b/core/types.h
@@ -0,0 +1,113 @@
+#ifndef CACTUSDECK_CORE_TYPES_H
+#define CACTUSDECK_CORE_TYPES_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+// Value types that all modules share.
+//
+//     TimePoint now = ...;                          // always a parameter, never read from a clock
+//     Endpoint endpoint = parseEndpoint("127.0.0.1:7000").value();
+//     ServiceId id = serviceIdOf(ServiceName{ "booking" });
+
+namespace cactusdeck {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+
+namespace detail {
+
+// A string that can't be confused with a string of another meaning.
+template <typename Tag>
+struct Name
+{
+    std::string value;
+
+    auto operator<=>(const Name &) const = default;
+};
+
+template <typename Tag>
+void to_json(nlohmann::json &json, const Name<Tag> &name)
+{
+    json = name.value;
+}
+
+template <typename Tag>
+void from_json(const nlohmann::json &json, Name<Tag> &name)
+{
+    json.get_to(name.value);
+}
+
+} // namespace detail
+
+// Identifies a balancer or an agent for as long as its instance lives.
+using NodeId = detail::Name<struct NodeIdTag>;
+// A failure domain.
+using ZoneName = detail::Name<struct ZoneNameTag>;
+using ServiceName = detail::Name<struct ServiceNameTag>;
+// A group of backend servers that a contract may allow to carry its service.
+using GroupName = detail::Name<struct GroupNameTag>;
+
+// Hash of a service name, as it travels in frames. Publishing rejects collisions.
+enum class ServiceId : std::uint32_t {};
+ServiceId serviceIdOf(const ServiceName &name);
+
+// Number of a run of a node or server. It rises with every restart and with every refutation.
+using Incarnation = std::uint32_t;
+
+// Version of the accepted configuration. It only rises; 0 means that none is known.
+using ConfigurationVersion = std::uint64_t;
+
+// Names one placement table: two nodes with the same members and weights compute the same digest.
+using TableDigest = std::uint32_t;
+
+// Index of a bucket of a service, below bucketCount.
+using Bucket = std::uint16_t;
+inline constexpr std::size_t bucketCount = 1024;
+
+// IPv4 address and port in host byte order.
+struct Endpoint
+{
+    std::uint32_t address = 0;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+// "192.0.2.1:80"
+std::string toString(Endpoint endpoint);
+// Returns false when the text isn't an IPv4 address and a port.
+bool parseEndpoint(std::string_view text, Endpoint &endpoint);
+
+void to_json(nlohmann::json &json, const Endpoint &endpoint);
+void from_json(const nlohmann::json &json, Endpoint &endpoint);
+
+} // namespace cactusdeck
+
+template <typename Tag>
+struct std::hash<cactusdeck::detail::Name<Tag>>
+{
+    std::size_t operator()(const cactusdeck::detail::Name<Tag> &name) const noexcept
+    {
+        return std::hash<std::string>()(name.value);
+    }
+};
+
+template <>
+struct std::hash<cactusdeck::Endpoint>
+{
+    std::size_t operator()(const cactusdeck::Endpoint &endpoint) const noexcept
+    {
+        const std::uint64_t word = (std::uint64_t(endpoint.address) << 16) | endpoint.port;
+        return std::size_t(word * 0x9E3779B97F4A7C15ull);
+    }
+};
+
+#endif // CACTUSDECK_CORE_TYPES_H
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on the sources, or on the given .cpp files only. Needs a configured release build.
+# Files that passed before with the same content, headers and settings are not checked again; the
+# record is in the build folder.
+source "$(dirname "$0")/common.sh"
+[ -e build/release/compile_commands.json ] || cmake --preset release >/dev/null
+record=build/lint
+mkdir -p "$record"
+state=$(sourceFiles | grep '\.h$' | xargs -r cat | cat - .clang-tidy | sha256sum | cut -c1-24)
+export state record
+lintFile() {
+    local mark
+    mark="$record/$(cat "$1" | sha256sum | cut -c1-24)-$state"
+    [ -e "$mark" ] && return 0
+    clang-tidy -p build/release --quiet "$1" 2>/dev/null && touch "$mark"
+}
+export -f lintFile
+if [ $# -gt 0 ]; then
+    printf '%s\n' "$@"
+else
+    sourceFiles | grep '\.cpp$'
+fi | xargs -r -n 1 -P "$jobs" bash -c 'lintFile "$0"'
