--- /dev/null
+++ b/standin/http.h
@@ -0,0 +1,53 @@
+#ifndef CACTUSDECK_STANDIN_HTTP_H
+#define CACTUSDECK_STANDIN_HTTP_H
+
+#include <string>
+#include <thread>
+
+#include <httplib.h>
+
+#include "core/error.h"
+#include "core/types.h"
+#include "standin/objectstore.h"
+
+// HTTP servers and calls of the stand-in.
+//
+//     HttpHost host;
+//     host.server().Get("/counters", ...);
+//     BOOST_LEAF_CHECK(host.start(endpoint));       // runs in its own threads until destruction
+//     BOOST_LEAF_AUTO(text, httpCall(endpoint, "GET", "/counters", {}));
+
+namespace cactusdeck {
+
+class HttpHost
+{
+public:
+    HttpHost();
+    ~HttpHost();
+    HttpHost(const HttpHost &) = delete;
+    HttpHost &operator=(const HttpHost &) = delete;
+
+    httplib::Server &server() { return this->http; }
+    // Port 0 selects a free port. Returns the endpoint that is bound.
+    Result<Endpoint> start(Endpoint endpoint);
+    // Unblocks the listener; the destructor waits for it.
+    void stop();
+
+private:
+    httplib::Server http;
+    std::thread thread;
+};
+
+// Adds the routes of the store protocol, POST /faults and GET /counters.
+void addStoreRoutes(httplib::Server &server, ObjectStore &store);
+
+// Returns the body of a successful answer.
+Result<std::string> httpCall(Endpoint endpoint, const std::string &method, const std::string &path,
+                             const std::string &body);
+
+// "192.0.2.1"
+std::string hostOf(Endpoint endpoint);
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_STANDIN_HTTP_H
