--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -42,38 +42,52 @@
         out[i] = scored[i].index;
 }
 
-void orderByRendezvous(std::span<const Member> members, Bucket bucket, std::span<std::uint16_t> out)
+std::vector<std::uint64_t> hashesOf(std::span<const Member> members, std::uint64_t seed)
 {
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(members.size());
+    for (const Member &member : members)
+        hashes.push_back(hashOf(member.id, seed));
+    return hashes;
+}
+
+void fillByRendezvous(std::span<const Member> members, std::size_t depth,
+                      std::span<std::uint16_t> out)
+{
+    const std::vector<std::uint64_t> hashes = hashesOf(members, 0);
     std::vector<Scored> scored(members.size());
-    for (std::size_t i = 0; i < members.size(); ++i) {
-        const std::uint64_t hash = mix(hashOf(members[i].id, 0), bucket);
-        // Uniform in (0, 1); the weight then gives each member its share of buckets.
-        const double uniform = (double(hash >> 11) + 0.5) * 0x1p-53;
-        scored[i] = { -double(members[i].weight) / std::log(uniform), std::uint16_t(i) };
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            // Uniform in (0, 1); the weight then gives each member its share of buckets.
+            const double uniform = (double(mix(hashes[i], bucket) >> 11) + 0.5) * 0x1p-53;
+            scored[i] = { -double(members[i].weight) / std::log(uniform), std::uint16_t(i) };
+        }
+        selectBest(scored, out.subspan(bucket * depth, depth));
     }
-    selectBest(scored, out);
 }
 
 constexpr std::uint64_t ringPoints = 64; // per member
 
-void orderOnRing(std::span<const Member> members, Bucket bucket, std::span<std::uint16_t> out)
+void fillFromRing(std::span<const Member> members, std::size_t depth, std::span<std::uint16_t> out)
 {
+    const std::vector<std::uint64_t> hashes = hashesOf(members, 1);
     std::vector<Scored> scored(members.size());
-    const std::uint64_t position = mix(0, std::uint64_t(bucket) + 1);
-    for (std::size_t i = 0; i < members.size(); ++i) {
-        const std::uint64_t hash = hashOf(members[i].id, 1);
-        std::uint64_t distance = UINT64_MAX;
-        for (std::uint64_t point = 0; point < ringPoints; ++point)
-            distance = std::min(distance, mix(hash, point) - position);
-        scored[i] = { -double(distance), std::uint16_t(i) };
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        const std::uint64_t position = mix(0, bucket + 1);
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            std::uint64_t distance = UINT64_MAX;
+            for (std::uint64_t point = 0; point < ringPoints; ++point)
+                distance = std::min(distance, mix(hashes[i], point) - position);
+            scored[i] = { -double(distance), std::uint16_t(i) };
+        }
+        selectBest(scored, out.subspan(bucket * depth, depth));
     }
-    selectBest(scored, out);
 }
 
 } // namespace
 
-const PlacementStrategy weightedRendezvous = { "weighted_rendezvous", orderByRendezvous };
-const PlacementStrategy consistentHashing = { "consistent_hashing", orderOnRing };
+const PlacementStrategy weightedRendezvous = { "weighted_rendezvous", fillByRendezvous };
+const PlacementStrategy consistentHashing = { "consistent_hashing", fillFromRing };
 
 TableDigest digestOf(std::span<const Member> sortedMembers)
 {
@@ -91,10 +105,7 @@
     this->tableDigest = digestOf(this->memberList);
     this->depth = std::min(this->memberList.size(), maxHops);
     this->orders.resize(this->depth * bucketCount);
-    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
-        strategy.order(this->memberList, Bucket(bucket),
-                       std::span(this->orders).subspan(bucket * this->depth, this->depth));
-    }
+    strategy.fill(this->memberList, this->depth, this->orders);
 }
 
 bool PlacementTable::isHome(Bucket bucket, const NodeId &id) const
--- a/core/placement.h
+++ b/core/placement.h
@@ -29,9 +29,9 @@
 struct PlacementStrategy
 {
     std::string_view name;
-    // Writes the indexes of the best members for the bucket, best first; out is at most as long as
-    // members.
-    void (*order)(std::span<const Member> members, Bucket bucket, std::span<std::uint16_t> out);
+    // Writes for each bucket in turn the indexes of its depth best members, best first; out has
+    // depth * bucketCount elements.
+    void (*fill)(std::span<const Member> members, std::size_t depth, std::span<std::uint16_t> out);
 };
 
 // Weighted rendezvous hashing: moves only the buckets of members that join, leave or change weight.
@@ -57,10 +57,11 @@
     bool isHome(Bucket bucket, const NodeId &id) const;
 
 private:
+    // The packet path reads the digest of every service that it serves, so it comes first.
+    TableDigest tableDigest = 0;
     std::vector<Member> memberList;
     std::vector<std::uint16_t> orders;
     std::size_t depth = 0;
-    TableDigest tableDigest = 0;
 };
 
 // The digest that a table of these members has, without building it.
