--- /dev/null
+++ b/core/configuration.h
@@ -0,0 +1,130 @@
+#ifndef CACTUSDECK_CORE_CONFIGURATION_H
+#define CACTUSDECK_CORE_CONFIGURATION_H
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/contract.h"
+#include "core/error.h"
+#include "core/head.h"
+#include "core/message.h"
+#include "core/types.h"
+
+// Accepted configuration of the whole system.
+//
+//     std::shared_ptr<const Configuration> configuration = log.current();      // never null
+//     const ServiceContract *contract = configuration->find(address.endpoint, address.protocol);
+//     if (configuration->isZoneOut(zone))
+//         ...
+//
+//     ConfigurationLog log;
+//     Result<bool> adopted = log.apply(delta);          // from a peer
+//     bool newer = log.adopt(configuration);            // complete version from the store
+//     std::optional<ConfigurationDelta> delta = log.answer(request);
+//
+// A Configuration never changes; pointers into it are valid as long as it is shared.
+
+namespace cactusdeck {
+
+// A contract with the hash under which it is published. Versions share unchanged contracts.
+struct PublishedContract
+{
+    ServiceContract contract;
+    std::string hash;
+};
+using ContractPointer = std::shared_ptr<const PublishedContract>;
+
+// Parses the value of a service object and checks it against the hash in the head.
+Result<ContractPointer> parsePublished(std::string_view text, const ServiceName &service,
+                                       std::string_view hash);
+
+class Configuration
+{
+public:
+    // Version 0: no services, all zones in.
+    Configuration() = default;
+
+    // Fails with InvalidContract when contracts and head don't match or contracts contradict each
+    // other. A configuration restricted to a group has only contracts that name the group, and its
+    // head's service table is what the contracts say.
+    static Result<std::shared_ptr<const Configuration>>
+    build(ConfigurationHead head, std::vector<ContractPointer> contracts,
+          std::optional<GroupName> group = {});
+
+    ConfigurationVersion version() const { return this->headObject.version; }
+    const std::string &changeId() const { return this->headObject.changeId; }
+    const std::vector<ChangeRecord> &changes() const { return this->headObject.changes; }
+    const std::map<ZoneName, ZoneState> &zones() const { return this->headObject.zones; }
+    const ConfigurationHead &head() const { return this->headObject; }
+    const std::optional<GroupName> &group() const { return this->restriction; }
+
+    // Sorted by service name.
+    std::span<const ContractPointer> contracts() const { return this->byName; }
+    const ServiceContract *find(const ServiceName &name) const;
+    const ServiceContract *find(ServiceId id) const;
+    const ServiceContract *find(Endpoint endpoint, Protocol protocol) const;
+    ContractPointer published(const ServiceName &name) const;
+    // The services that backend servers of the group may host, sorted by name.
+    std::vector<const ServiceContract *> servicesOf(const GroupName &group) const;
+
+    // A zone that the head doesn't name is in.
+    bool isZoneOut(const ZoneName &zone) const;
+
+    // Hash over all contracts and zone states; carried by deltas so that the result of applying one
+    // is checked.
+    const std::string &digest() const { return this->contentDigest; }
+
+private:
+    ConfigurationHead headObject;
+    std::optional<GroupName> restriction;
+    std::vector<ContractPointer> byName;
+    std::vector<std::pair<ServiceId, const ServiceContract *>> byId;
+    std::vector<std::pair<ServiceAddress, const ServiceContract *>> byAddress;
+    std::vector<std::pair<const GroupName *, const ServiceContract *>> byGroup;
+    std::string contentDigest;
+
+    void buildIndexes();
+};
+
+using ConfigurationPointer = std::shared_ptr<const Configuration>;
+
+// What turns one version into a later one. A null or newer base gives a full snapshot.
+ConfigurationDelta deltaBetween(const Configuration *base, const Configuration &target,
+                                const std::optional<GroupName> &group);
+// Fails with Conflict when the delta is for another base or not newer, with InvalidContract when it
+// is malformed or its result differs from the sender's.
+Result<ConfigurationPointer> applyDelta(const Configuration &base, const ConfigurationDelta &delta);
+
+// The current configuration, and the versions before it.
+class ConfigurationLog
+{
+public:
+    // group: the node keeps only the services that this group may host.
+    explicit ConfigurationLog(std::optional<GroupName> group = {});
+
+    const ConfigurationPointer &current() const { return this->history.back(); }
+    const std::optional<GroupName> &group() const { return this->restriction; }
+
+    // False when the version isn't newer than the current one.
+    bool adopt(ConfigurationPointer configuration);
+    // Fails as applyDelta does; the current configuration is then unchanged. False for a delta that
+    // isn't newer.
+    Result<bool> apply(const ConfigurationDelta &delta);
+    // A delta, or a snapshot when the history doesn't reach back. To a requester that is up to date
+    // the answer is a delta without content, from == to. None when this node keeps too few services
+    // to answer.
+    std::optional<ConfigurationDelta> answer(const ConfigurationRequest &request) const;
+
+private:
+    std::optional<GroupName> restriction;
+    std::deque<ConfigurationPointer> history; // oldest first, never empty
+};
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_CORE_CONFIGURATION_H
--- /dev/null
+++ b/core/publisher.h
@@ -0,0 +1,159 @@
+#ifndef CACTUSDECK_CORE_PUBLISHER_H
+#define CACTUSDECK_CORE_PUBLISHER_H
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/configuration.h"
+#include "core/storecalls.h"
+
+// One change by an operator, from the command to its outcome.
+//
+//     StoreCalls calls({ .seed = ..., .callsPerSecond = 200 });
+//     Publisher publisher(calls, { .changeId = ..., .author = ..., .reason = ..., .time = ... });
+//     publisher.publish(contracts, now, outbox);           // or setZone, or lookUp
+//     while (!publisher.outcome()) {
+//         ...                                              // carry out outbox.store
+//         publisher.onAnswer(answer, now, outbox);
+//         publisher.onTimer(now, outbox);                  // every 50 ms
+//     }
+//
+// A Publisher makes one change. The replacement of the head is the commit point: before it nothing
+// is in effect, and after it everything is. A lost answer is resolved by reading the head back and
+// looking for the change id, so the id must be unique.
+
+namespace cactusdeck {
+
+struct PublisherOptions
+{
+    std::string changeId; // unique
+    std::string author;
+    std::string reason;
+    std::chrono::milliseconds time{}; // since the epoch, recorded with the change
+    Duration deadline = std::chrono::seconds(30);
+    // Accepts what is otherwise refused: taking the last zone out, an unknown zone, publishing no
+    // contract at all.
+    bool force = false;
+    // Zones of live nodes. Together with those in the head they are the zones that exist.
+    std::vector<ZoneName> knownZones;
+    // Newest version that any node reports; an older head is a stale read.
+    ConfigurationVersion newestKnown = 0;
+};
+
+enum class PublishResult : std::uint8_t {
+    Accepted, // in effect as `version`
+    Unchanged, // the configuration already is as asked for
+    Conflict, // another change was accepted meanwhile; `winner` says which
+    Rejected, // `error` says why; nothing was changed
+    NotAccepted, // the store could not be reached in time; nothing was or will be changed
+    OutcomeUnknown, // the store became unreachable after the head write was sent
+};
+
+std::string_view toString(PublishResult result);
+
+// What a set of contracts changes.
+struct ContractDiff
+{
+    std::vector<ServiceName> added;
+    std::vector<ServiceName> changed;
+    std::vector<ServiceName> removed;
+
+    bool isEmpty() const { return added.empty() && changed.empty() && removed.empty(); }
+};
+
+struct PublishOutcome
+{
+    PublishResult result = PublishResult::Rejected;
+    std::string changeId;
+    ConfigurationVersion version = 0; // the accepted or current one, 0 if not known
+    ContractDiff diff; // publish only
+    std::optional<ChangeRecord> winner; // Conflict, unless the head could not be read again
+    Error error; // for all but Accepted and Unchanged
+    std::string message; // one line for the operator
+};
+
+class Publisher
+{
+public:
+    Publisher(StoreCalls &calls, PublisherOptions options);
+
+    // Replaces all contracts.
+    void publish(std::vector<ServiceContract> contracts, TimePoint now, Outbox &outbox);
+    void setZone(ZoneName zone, ZoneState state, TimePoint now, Outbox &outbox);
+    // Finds out whether the change with options.changeId was accepted.
+    void lookUp(TimePoint now, Outbox &outbox);
+
+    void onAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
+    void onTimer(TimePoint now, Outbox &outbox);
+
+    const std::optional<PublishOutcome> &outcome() const { return this->result; }
+
+private:
+    enum class Change : std::uint8_t { Contracts, Zone, LookUp };
+    enum class Step : std::uint8_t {
+        ReadHead, // before anything is written
+        WriteObjects,
+        WriteHead,
+        ReadBack, // after a head write whose answer didn't come
+        ReadWinner, // after a conflict
+        Done,
+    };
+    struct ObjectWrite
+    {
+        StoreSlot slot;
+        std::optional<std::size_t> object; // index in objects
+        std::uint64_t version = 0; // object version that is replaced
+    };
+    struct ServiceObject
+    {
+        std::string key;
+        std::string text;
+        bool started = false;
+        bool written = false;
+        std::uint64_t replaces = 0;
+    };
+
+    StoreSlot headSlot;
+    std::vector<ObjectWrite> writes;
+    PublisherOptions options;
+    Change change = Change::Contracts;
+    Step step = Step::Done;
+    TimePoint deadline;
+    std::vector<ServiceContract> contracts;
+    ZoneName zone;
+    ZoneState zoneState = ZoneState::In;
+
+    ConfigurationHead base; // head that was read
+    std::uint64_t baseObject = 0; // its store version
+    ConfigurationHead target;
+    std::vector<ServiceObject> objects;
+    std::uint64_t winnerObject = 0; // store version that the conflict named
+    bool confirming = false; // the pending head write only confirms that nothing changed
+    bool ambiguous = false; // a head write may have taken effect
+    std::optional<PublishOutcome> result;
+    ContractDiff diff;
+
+    void begin(Change kind, TimePoint now, Outbox &outbox);
+    void advance(TimePoint now, Outbox &outbox);
+    void sendObjectWrites(TimePoint now, Outbox &outbox);
+    void handle(const StoreAnswer &answer, TimePoint now);
+    void onHeadRead(const StoreAnswer &answer, TimePoint now);
+    void onHeadWritten(const StoreAnswer &answer, TimePoint now);
+    void onReadBack(const StoreAnswer &answer, const ConfigurationHead &head, TimePoint now);
+    void onObjectWritten(ObjectWrite &write, const StoreAnswer &answer);
+    void onDeadline();
+    void plan();
+    void planContracts();
+    void planZone();
+    bool isLastZone() const;
+    void finish(PublishResult kind, Error error, std::string message);
+    void finishAccepted(ConfigurationVersion version);
+    void finishConflict(const ConfigurationHead &winner);
+    void reject(ErrorKind kind, std::string message);
+};
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_CORE_PUBLISHER_H
