--- /dev/null
+++ b/core/configspread.cpp
@@ -0,0 +1,284 @@
+#include "core/configspread.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cactusdeck {
+
+namespace {
+
+// Sources of a version that are remembered; more would only be asked after all of these failed.
+constexpr std::size_t maxSources = 4;
+// A requester is sent at most one snapshot in this time. It repeats requests faster, and a snapshot
+// of 1,500 services has about 600 KB.
+constexpr std::chrono::milliseconds snapshotInterval{ 300 };
+
+void remove(std::vector<Endpoint> &endpoints, Endpoint endpoint)
+{
+    endpoints.erase(std::remove(endpoints.begin(), endpoints.end(), endpoint), endpoints.end());
+}
+
+} // namespace
+
+ConfigurationSpread::ConfigurationSpread(ConfigurationSpreadOptions spreadOptions)
+    : options(std::move(spreadOptions))
+    , random(this->options.seed)
+    , log(this->options.group)
+{ }
+
+void ConfigurationSpread::setPeers(std::vector<Endpoint> endpoints)
+{
+    this->peers = std::move(endpoints);
+    remove(this->peers, this->options.replyTo);
+}
+
+void ConfigurationSpread::setDependants(std::vector<Endpoint> endpoints)
+{
+    this->dependants = std::move(endpoints);
+}
+
+bool ConfigurationSpread::adopt(ConfigurationPointer configuration, TimePoint now, Outbox &outbox)
+{
+    if (!this->log.adopt(std::move(configuration)))
+        return false;
+    this->startNotices(now, outbox);
+    this->onAdopted(now, outbox);
+    return true;
+}
+
+void ConfigurationSpread::onAdopted(TimePoint now, Outbox &outbox)
+{
+    this->request = {};
+    this->wantSnapshot = false;
+    outbox.events.push_back({ Level::Info,
+                              "configuration_adopted",
+                              { { "version", std::to_string(this->current()->version()) },
+                                { "change", this->current()->changeId() } } });
+    if (!this->claim)
+        return;
+    if (this->claim->version <= this->current()->version()) {
+        this->claim.reset();
+        return;
+    }
+    this->claim->behindSince = this->claim->firstSeen;
+    this->sendRequest(now, outbox);
+}
+
+void ConfigurationSpread::startNotices(TimePoint now, Outbox &outbox)
+{
+    this->notices = { .roundsLeft = this->options.rounds,
+                      .interval = this->options.firstRepeat,
+                      .dependants = this->dependants,
+                      .peers = this->peers };
+    std::shuffle(this->notices.peers.begin(), this->notices.peers.end(), this->random);
+    if (this->claim) {
+        for (const Endpoint source : this->claim->sources)
+            this->dropFromNotices(source);
+    }
+    this->sendNotices(now, outbox);
+}
+
+void ConfigurationSpread::sendNotices(TimePoint now, Outbox &outbox)
+{
+    const ConfigurationNotice notice{ this->options.id, this->options.replyTo,
+                                      this->current()->version() };
+    for (const Endpoint dependant : this->notices.dependants)
+        outbox.send(dependant, notice);
+    auto &list = this->notices.peers;
+    const auto count = std::ptrdiff_t(std::min(this->options.fanout, list.size()));
+    for (std::ptrdiff_t i = 0; i < count; ++i)
+        outbox.send(list[std::size_t(i)], notice);
+    // The next round goes to others.
+    std::rotate(list.begin(), list.begin() + count, list.end());
+    --this->notices.roundsLeft;
+    this->notices.nextAt = now + this->notices.interval;
+    this->notices.interval *= 2;
+}
+
+void ConfigurationSpread::dropFromNotices(Endpoint endpoint)
+{
+    if (this->notices.roundsLeft <= 0)
+        return;
+    remove(this->notices.dependants, endpoint);
+    remove(this->notices.peers, endpoint);
+}
+
+void ConfigurationSpread::addSource(Endpoint from)
+{
+    if (from.port == 0 || from == this->options.replyTo)
+        return;
+    auto &sources = this->claim->sources;
+    if (!sources.empty() && sources.front() == from)
+        return;
+    remove(sources, from);
+    sources.insert(sources.begin(), from);
+    if (sources.size() > maxSources)
+        sources.pop_back();
+}
+
+void ConfigurationSpread::onVersionSeen(ConfigurationVersion version, Endpoint from, TimePoint now,
+                                        Outbox &outbox)
+{
+    const ConfigurationVersion have = this->current()->version();
+    if (version == have)
+        this->dropFromNotices(from);
+    if (version <= have)
+        return;
+    if (!this->claim)
+        this->claim = { .version = version, .firstSeen = now, .behindSince = now };
+    this->claim->lastSeen = now;
+    if (version > this->claim->version) {
+        this->claim->version = version;
+        this->claim->firstSeen = now;
+    }
+    this->addSource(from);
+    if (!this->request.waiting)
+        this->sendRequest(now, outbox);
+}
+
+void ConfigurationSpread::onNotice(const ConfigurationNotice &notice, TimePoint now, Outbox &outbox)
+{
+    this->onVersionSeen(notice.version, notice.replyTo, now, outbox);
+}
+
+std::optional<Endpoint> ConfigurationSpread::chooseSource()
+{
+    // Sources in turn, then any peer, since the sources may be gone.
+    static const std::vector<Endpoint> none;
+    const auto &sources = this->claim ? this->claim->sources : none;
+    const std::size_t turn = std::size_t(this->request.attempts) % (sources.size() + 1);
+    if (turn < sources.size())
+        return sources[turn];
+    if (!this->peers.empty())
+        return this->peers[this->random() % this->peers.size()];
+    if (!sources.empty())
+        return sources.front();
+    return std::nullopt;
+}
+
+void ConfigurationSpread::sendRequest(TimePoint now, Outbox &outbox)
+{
+    const std::optional<Endpoint> to = this->chooseSource();
+    const double growth = std::pow(1.5, std::min(this->request.attempts, 20));
+    const double jitter = std::uniform_real_distribution<double>(0.8, 1.2)(this->random);
+    const auto timeout = std::chrono::duration_cast<Duration>(
+            std::min<std::chrono::duration<double>>(this->options.firstTimeout * growth,
+                                                    this->options.timeoutCap)
+            * jitter);
+    this->request.nextAt = now + timeout;
+    this->request.waiting = true;
+    ++this->request.attempts;
+    if (!to)
+        return;
+    this->request.to = *to;
+    outbox.send(*to, ConfigurationRequest{ this->options.replyTo,
+                                           this->wantSnapshot ? 0 : this->current()->version(),
+                                           this->options.group });
+}
+
+void ConfigurationSpread::onRequest(const ConfigurationRequest &message, TimePoint now,
+                                    Outbox &outbox)
+{
+    this->dropFromNotices(message.replyTo);
+    // Only a node with the whole configuration helps others to a newer one.
+    if (!message.group || message.group == this->options.group)
+        this->onVersionSeen(message.have, message.replyTo, now, outbox);
+    std::optional<ConfigurationDelta> delta = this->log.answer(message);
+    if (!delta)
+        return;
+    if (delta->from == 0 && delta->to != 0) {
+        const auto [last, isFirst] = this->snapshots.emplace(message.replyTo, now);
+        if (!isFirst && now - last->second < snapshotInterval)
+            return;
+        last->second = now;
+    }
+    outbox.send(message.replyTo, std::move(*delta));
+}
+
+bool ConfigurationSpread::onDelta(const ConfigurationDelta &delta, TimePoint now, Outbox &outbox)
+{
+    if (delta.from == delta.to) {
+        this->onEmptyDelta(delta, now);
+        return false;
+    }
+    const bool isFirst = this->current()->version() == 0;
+    const bool adopted =
+            leaf::try_handle_all([&]() -> Result<bool> { return this->log.apply(delta); },
+                                 [&](const Error &error) {
+                                     this->onRefused(delta, error, outbox);
+                                     return false;
+                                 },
+                                 [] { return false; });
+    if (!adopted)
+        return false;
+    // A joiner fetched what all others have already.
+    if (!isFirst)
+        this->startNotices(now, outbox);
+    this->onAdopted(now, outbox);
+    return true;
+}
+
+void ConfigurationSpread::onRefused(const ConfigurationDelta &delta, const Error &error,
+                                    Outbox &outbox)
+{
+    outbox.events.push_back({ Level::Warning,
+                              "configuration_delta_refused",
+                              { { "from", std::to_string(delta.from) },
+                                { "to", std::to_string(delta.to) },
+                                { "reason", error.message } } });
+    // The delta doesn't fit what this node has, so that the next one wouldn't either.
+    if (error.kind == ErrorKind::InvalidContract && delta.from != 0)
+        this->wantSnapshot = true;
+}
+
+void ConfigurationSpread::onEmptyDelta(const ConfigurationDelta &delta, TimePoint now)
+{
+    // The node that was asked has nothing newer than delta.to. Without this, a version that came
+    // from a corrupt frame would count as missing for as long as claimLifetime.
+    if (!this->claim || !this->request.waiting || delta.to >= this->claim->version)
+        return;
+    auto &sources = this->claim->sources;
+    const bool isSource = std::count(sources.begin(), sources.end(), this->request.to) > 0;
+    remove(sources, this->request.to);
+    if (isSource && sources.empty()) {
+        this->claim.reset();
+        this->request = {};
+        return;
+    }
+    this->request.nextAt = std::min(this->request.nextAt, now + this->options.firstTimeout);
+}
+
+bool ConfigurationSpread::needsRequest() const
+{
+    return this->claim || (this->current()->version() == 0 && !this->peers.empty());
+}
+
+void ConfigurationSpread::onTimer(TimePoint now, Outbox &outbox)
+{
+    if (this->claim && now - this->claim->lastSeen > this->options.claimLifetime) {
+        outbox.events.push_back({ Level::Warning,
+                                  "configuration_version_given_up",
+                                  { { "version", std::to_string(this->claim->version) } } });
+        this->claim.reset();
+        this->request = {};
+    }
+    if (this->needsRequest() && (!this->request.waiting || now >= this->request.nextAt))
+        this->sendRequest(now, outbox);
+    if (this->notices.roundsLeft > 0 && now >= this->notices.nextAt)
+        this->sendNotices(now, outbox);
+    std::erase_if(this->snapshots,
+                  [&](const auto &entry) { return now - entry.second > snapshotInterval; });
+}
+
+ConfigurationVersion ConfigurationSpread::newestSeen() const
+{
+    return this->claim ? this->claim->version : this->current()->version();
+}
+
+Duration ConfigurationSpread::staleSince(TimePoint now) const
+{
+    return this->claim ? now - this->claim->behindSince : Duration::zero();
+}
+
+} // namespace cactusdeck
--- a/core/configspread.h
+++ b/core/configspread.h
@@ -87,7 +87,6 @@
     };
     struct Request
     {
-        TimePoint sentAt;
         TimePoint nextAt; // when the next one is sent if no answer comes
         Endpoint to;
         int attempts = 0;
@@ -109,6 +108,7 @@
     std::vector<Endpoint> dependants;
     std::optional<Claim> claim;
     Request request;
+    bool wantSnapshot = false; // the last delta didn't fit
     Notices notices;
     std::map<Endpoint, TimePoint> snapshots; // when each requester was last sent one
 
@@ -119,9 +119,9 @@
     void removeSource(Endpoint from);
     void sendRequest(TimePoint now, Outbox &outbox);
     std::optional<Endpoint> chooseSource();
-    void settleClaim(TimePoint now);
     void onAdopted(TimePoint now, Outbox &outbox);
     bool needsRequest() const;
+    void onRefused(const ConfigurationDelta &delta, const Error &error, Outbox &outbox);
     void onEmptyDelta(const ConfigurationDelta &delta, TimePoint now);
 };
 
--- a/core/configuration.h
+++ b/core/configuration.h
@@ -35,7 +35,8 @@
 struct PublishedContract
 {
     ServiceContract contract;
-    std::string hash;
+    std::string hash; // of the text as published, as the head names it
+    std::string canonicalHash; // of contractText(contract); compared between nodes
 };
 using ContractPointer = std::shared_ptr<const PublishedContract>;
 
@@ -48,6 +49,7 @@
 public:
     // Version 0: no services, all zones in.
     Configuration() = default;
+    static std::shared_ptr<const Configuration> empty(std::optional<GroupName> group);
 
     // Fails with InvalidContract when contracts and head don't match or contracts contradict each
     // other. A configuration restricted to a group has only contracts that name the group, and its
--- a/core/contract.h
+++ b/core/contract.h
@@ -62,7 +62,7 @@
     bool operator==(const ServiceContract &) const = default;
 };
 
-// The schema file, embedded at build time.
+// The content of schema/contract.schema.json.
 extern const std::string_view contractSchemaText;
 
 // file is used in error messages only.
@@ -72,6 +72,7 @@
 // Checks one contract against all others: services and addresses are unique, no two names have the
 // same ServiceId. The result of parseContract is assumed for each.
 Result<void> checkContracts(std::span<const ServiceContract> contracts);
+Result<void> checkContracts(std::span<const ServiceContract *const> contracts);
 
 nlohmann::json toJson(const ServiceContract &contract);
 // Canonical text: equal contracts have equal texts.
--- /dev/null
+++ b/core/lease.cpp
@@ -0,0 +1,219 @@
+#include "core/lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusdeck {
+
+namespace {
+
+constexpr std::string_view leaseKey = "lease/status";
+
+} // namespace
+
+Lease::Lease(StoreCalls &calls, LeaseOptions leaseOptions)
+    : slot(calls)
+    , options(std::move(leaseOptions))
+{ }
+
+void Lease::setCandidate(bool value)
+{
+    this->candidate = value;
+}
+
+std::optional<std::uint64_t> Lease::term(TimePoint now) const
+{
+    if (!this->held || now >= this->expiresAt || this->isPaused(now))
+        return std::nullopt;
+    return this->seen.term;
+}
+
+bool Lease::isPaused(TimePoint now) const
+{
+    return this->lastTimer && now - *this->lastTimer > this->options.pauseLimit;
+}
+
+bool Lease::isOwn(const Record &record) const
+{
+    return record.holder == this->options.holder && record.incarnation == this->options.incarnation;
+}
+
+void Lease::checkHeld(TimePoint now, Outbox &outbox)
+{
+    if (!this->held)
+        return;
+    if (this->isPaused(now))
+        this->stepDown("paused", now, outbox);
+    else if (now >= this->expiresAt)
+        this->stepDown("expired", now, outbox);
+}
+
+void Lease::stepDown(const char *reason, TimePoint now, Outbox &outbox)
+{
+    this->held = false;
+    this->known = false;
+    // The answer to a pending write must not make this node the holder again.
+    this->slot.reset();
+    this->nextAt = now;
+    outbox.events.push_back(
+            { Level::Warning,
+              "lease_lost",
+              { { "term", std::to_string(this->seen.term) }, { "reason", reason } } });
+}
+
+void Lease::onFenced(std::uint64_t higherTerm, TimePoint now, Outbox &outbox)
+{
+    this->termFloor = std::max(this->termFloor, higherTerm);
+    if (this->held)
+        this->stepDown("fenced", now, outbox);
+}
+
+void Lease::onTimer(TimePoint now, Outbox &outbox)
+{
+    this->checkHeld(now, outbox);
+    this->lastTimer = now;
+    if (const std::optional<StoreAnswer> late = this->slot.expire(now)) {
+        this->known = false;
+        this->nextAt = now;
+    }
+    this->act(now, outbox);
+}
+
+void Lease::onAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox)
+{
+    // A process that resumes may get the answer before its timer.
+    this->checkHeld(now, outbox);
+    if (!this->slot.accept(answer, now))
+        return;
+    if (this->slot.call().operation == StoreOperation::Get)
+        this->onRead(answer, now, outbox);
+    else
+        this->onWritten(answer, now, outbox);
+    this->act(now, outbox);
+}
+
+void Lease::onRead(const StoreAnswer &answer, TimePoint now, Outbox &outbox)
+{
+    if (answer.status != StoreStatus::Ok && answer.status != StoreStatus::NotFound)
+        return;
+    const std::uint64_t version = answer.status == StoreStatus::Ok ? answer.version : 0;
+    Record record;
+    if (answer.status == StoreStatus::Ok) {
+        const std::optional<Record> decoded = decode(answer.value);
+        if (!decoded)
+            outbox.events.push_back({ Level::Error, "lease_malformed", {} });
+        // The holder of a malformed object isn't known; it is taken over when it stays unchanged.
+        record = decoded.value_or(Record{ .holder = NodeId{ "?" }, .term = this->seen.term });
+    }
+    if (this->held && (!this->isOwn(record) || record.term != this->seen.term))
+        this->stepDown("taken over", now, outbox);
+    if (version != this->objectVersion)
+        this->unchangedSince = now;
+    this->objectVersion = version;
+    this->termFloor = std::max(this->termFloor, record.term);
+    this->seen = std::move(record);
+    this->known = true;
+    const bool isDue = this->held || this->mayAcquire(now);
+    this->nextAt = isDue ? now : now + this->options.observeEvery;
+}
+
+void Lease::onWritten(const StoreAnswer &answer, TimePoint now, Outbox &outbox)
+{
+    if (answer.status == StoreStatus::Conflict && this->held) {
+        this->stepDown("conflict", now, outbox);
+        return;
+    }
+    if (answer.status != StoreStatus::Ok) {
+        // Whether it took effect is found out by reading.
+        this->known = false;
+        this->nextAt = now;
+        return;
+    }
+    const bool wasHeld = this->held;
+    this->seen = this->written;
+    this->termFloor = std::max(this->termFloor, this->seen.term);
+    this->objectVersion = answer.version;
+    this->unchangedSince = now;
+    this->known = true;
+    this->expiresAt = this->slot.sentAt() + this->options.duration;
+    this->held = this->isOwn(this->seen) && now < this->expiresAt;
+    this->nextAt = this->slot.sentAt()
+                   + (this->held ? this->options.renewEvery : this->options.observeEvery);
+    if (this->held && !wasHeld)
+        outbox.events.push_back(
+                { Level::Info, "lease_acquired", { { "term", std::to_string(this->seen.term) } } });
+}
+
+bool Lease::mayAcquire(TimePoint now) const
+{
+    if (!this->known)
+        return false;
+    // An own record that isn't held is from a write whose answer was lost, or from before a pause.
+    return this->seen.holder.value.empty() || this->isOwn(this->seen)
+           || now - this->unchangedSince >= this->options.duration + this->options.margin;
+}
+
+void Lease::act(TimePoint now, Outbox &outbox)
+{
+    if (!this->slot.isReady(now))
+        return;
+    if (!this->candidate) {
+        if (this->held && this->known) {
+            Record released = this->seen;
+            released.holder = {};
+            this->held = false;
+            this->write(std::move(released), now, outbox);
+        }
+        return;
+    }
+    if (now < this->nextAt)
+        return;
+    if (this->held && this->known) {
+        Record renewed = this->seen;
+        ++renewed.renewal;
+        this->write(std::move(renewed), now, outbox);
+    } else if (this->mayAcquire(now)) {
+        this->write({ .holder = this->options.holder,
+                      .incarnation = this->options.incarnation,
+                      .term = std::max(this->termFloor, this->seen.term) + 1 },
+                    now, outbox);
+    } else {
+        this->slot.send({ .key = std::string(leaseKey) }, now, outbox);
+    }
+}
+
+void Lease::write(Record record, TimePoint now, Outbox &outbox)
+{
+    this->written = std::move(record);
+    this->slot.send({ .operation = StoreOperation::Put,
+                      .key = std::string(leaseKey),
+                      .value = encode(this->written),
+                      .version = this->objectVersion },
+                    now, outbox);
+}
+
+std::string Lease::encode(const Record &record)
+{
+    const nlohmann::json json = { { "holder", record.holder },
+                                  { "incarnation", record.incarnation },
+                                  { "term", record.term },
+                                  { "renewal", record.renewal } };
+    return json.dump();
+}
+
+std::optional<Lease::Record> Lease::decode(const std::string &text)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        Record record;
+        json.at("holder").get_to(record.holder);
+        json.at("incarnation").get_to(record.incarnation);
+        json.at("term").get_to(record.term);
+        json.at("renewal").get_to(record.renewal);
+        return record;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace cactusdeck
--- a/core/lease.h
+++ b/core/lease.h
@@ -9,7 +9,7 @@
 // The lease "lease/status": at most one balancer writes the status summary.
 //
 //     Lease lease(calls, { .holder = id, .incarnation = incarnation });
-//     lease.setCandidate(isAmongCandidates, now);   // a few balancers, so that few calls are made
+//     lease.setCandidate(isAmongCandidates);  // a few balancers, so that few calls are made
 //     lease.onTimer(now, outbox);
 //     lease.onAnswer(answer, now, outbox);
 //     if (std::optional<std::uint64_t> term = lease.term(now))
@@ -41,11 +41,11 @@
     Lease(StoreCalls &calls, LeaseOptions options);
 
     // A holder that is no candidate any more releases the lease.
-    void setCandidate(bool candidate, TimePoint now);
+    void setCandidate(bool candidate);
     void onAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
     void onTimer(TimePoint now, Outbox &outbox);
-    // A write under the lease found a higher term.
-    void onFenced(TimePoint now, Outbox &outbox);
+    // A write under the lease found a higher term: steps down, and exceeds that term next time.
+    void onFenced(std::uint64_t higherTerm, TimePoint now, Outbox &outbox);
 
     // The fencing term, while the lease is held.
     std::optional<std::uint64_t> term(TimePoint now) const;
@@ -58,7 +58,7 @@
         NodeId holder; // empty: released
         Incarnation incarnation = 0;
         std::uint64_t term = 0;
-        std::uint64_t renewal = 0; // makes every write a change
+        std::uint64_t renewal = 0; // number of renewals in this term
     };
 
     StoreSlot slot;
@@ -72,14 +72,16 @@
     TimePoint nextAt; // next read or renewal
     TimePoint expiresAt; // own lease
     std::optional<TimePoint> lastTimer;
-    Record written; // by the pending or last write
+    Record written; // by the pending write
+    std::uint64_t termFloor = 0; // terms up to this were in use
 
+    bool isPaused(TimePoint now) const;
+    void checkHeld(TimePoint now, Outbox &outbox);
     void stepDown(const char *reason, TimePoint now, Outbox &outbox);
-    void onReadAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
-    void onWriteAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
+    void onRead(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
+    void onWritten(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
     void act(TimePoint now, Outbox &outbox);
     bool mayAcquire(TimePoint now) const;
-    void read(TimePoint now, Outbox &outbox);
     void write(Record record, TimePoint now, Outbox &outbox);
     bool isOwn(const Record &record) const;
     static std::string encode(const Record &record);
--- /dev/null
+++ b/core/publisher.cpp
@@ -0,0 +1,502 @@
+#include "core/publisher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusdeck {
+
+namespace {
+
+// Service objects written at the same time.
+constexpr std::size_t parallelWrites = 8;
+// Bounds the head, which carries 64 summaries and is read by every reader.
+constexpr std::size_t maxReason = 500; // bytes
+constexpr std::size_t maxObject = 1'000'000; // bytes, the store's limit
+
+std::string counted(const char *what, const std::vector<ServiceName> &names)
+{
+    constexpr std::size_t shown = 5;
+    std::string text = std::to_string(names.size()) + ' ' + what;
+    for (std::size_t i = 0; i < std::min(shown, names.size()); ++i)
+        text += (i == 0 ? " (" : ", ") + names[i].value;
+    if (!names.empty())
+        text += names.size() > shown ? ", ...)" : ")";
+    return text;
+}
+
+std::string describe(const ChangeRecord &record)
+{
+    return "version " + std::to_string(record.version) + ", change " + record.changeId + " by "
+           + record.author + ": " + record.summary;
+}
+
+ZoneState zoneStateOf(const ConfigurationHead &head, const ZoneName &zone)
+{
+    const auto found = head.zones.find(zone);
+    return found == head.zones.end() ? ZoneState::In : found->second;
+}
+
+bool isUnreachable(StoreStatus status)
+{
+    return status == StoreStatus::Unavailable || status == StoreStatus::Timeout;
+}
+
+} // namespace
+
+std::string_view toString(PublishResult result)
+{
+    switch (result) {
+    case PublishResult::Accepted:
+        return "accepted";
+    case PublishResult::Unchanged:
+        return "unchanged";
+    case PublishResult::Conflict:
+        return "conflict";
+    case PublishResult::Rejected:
+        return "rejected";
+    case PublishResult::NotAccepted:
+        return "not accepted";
+    case PublishResult::OutcomeUnknown:
+        return "outcome unknown";
+    }
+    return "";
+}
+
+Publisher::Publisher(StoreCalls &calls, PublisherOptions publisherOptions)
+    : headSlot(calls)
+    , writers(parallelWrites, ObjectWriter{ StoreSlot(calls), {} })
+    , options(std::move(publisherOptions))
+{ }
+
+void Publisher::publish(std::vector<ServiceContract> newContracts, TimePoint now, Outbox &outbox)
+{
+    this->contracts = std::move(newContracts);
+    const std::string fault = leaf::try_handle_all(
+            [&]() -> Result<std::string> {
+                BOOST_LEAF_CHECK(checkContracts(this->contracts));
+                return std::string();
+            },
+            [](const Error &error) { return error.message; },
+            [] { return std::string("contracts: not valid"); });
+    if (!fault.empty())
+        return this->reject(ErrorKind::InvalidContract, fault);
+    if (this->contracts.empty() && !this->options.force)
+        return this->reject(ErrorKind::InvalidContract,
+                            "no contract given; publishing none removes all services and must be "
+                            "forced");
+    for (const ServiceContract &contract : this->contracts)
+        this->hashes[contract.service] = contractHash(contractText(contract));
+    this->begin(Change::Contracts, now, outbox);
+}
+
+void Publisher::setZone(ZoneName name, ZoneState state, TimePoint now, Outbox &outbox)
+{
+    this->zone = std::move(name);
+    this->zoneState = state;
+    if (this->zone.value.empty())
+        return this->reject(ErrorKind::UnknownZone, "the zone has no name");
+    this->begin(Change::Zone, now, outbox);
+}
+
+void Publisher::lookUp(TimePoint now, Outbox &outbox)
+{
+    this->begin(Change::LookUp, now, outbox);
+}
+
+void Publisher::begin(Change kind, TimePoint now, Outbox &outbox)
+{
+    if (this->options.changeId.empty())
+        return this->reject(ErrorKind::InvalidArgument, "the change has no identifier");
+    if (kind != Change::LookUp && this->options.author.empty())
+        return this->reject(ErrorKind::InvalidArgument, "the change has no author");
+    if (this->options.reason.size() > maxReason)
+        return this->reject(ErrorKind::InvalidArgument,
+                            "reason: got " + std::to_string(this->options.reason.size())
+                                    + " bytes, expected at most " + std::to_string(maxReason));
+    this->change = kind;
+    this->step = Step::ReadHead;
+    this->deadline = now + this->options.deadline;
+    this->advance(now, outbox);
+}
+
+void Publisher::onAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox)
+{
+    if (this->step == Step::Done)
+        return;
+    if (this->headSlot.accept(answer, now))
+        this->onHeadAnswer(answer, now);
+    for (ObjectWriter &writer : this->writers) {
+        if (writer.slot.accept(answer, now))
+            this->onObjectAnswer(writer, answer);
+    }
+    this->advance(now, outbox);
+}
+
+void Publisher::onTimer(TimePoint now, Outbox &outbox)
+{
+    if (this->step == Step::Done)
+        return;
+    if (const std::optional<StoreAnswer> late = this->headSlot.expire(now))
+        this->onHeadAnswer(*late, now);
+    for (ObjectWriter &writer : this->writers)
+        writer.slot.expire(now);
+    if (this->step != Step::Done && now >= this->deadline)
+        this->onDeadline();
+    this->advance(now, outbox);
+}
+
+void Publisher::advance(TimePoint now, Outbox &outbox)
+{
+    if (this->step == Step::WriteObjects) {
+        this->sendObjects(now, outbox);
+        const bool allWritten = std::all_of(this->objects.begin(), this->objects.end(),
+                                            [](const ServiceObject &o) { return o.written; });
+        if (allWritten)
+            this->step = Step::WriteHead;
+    }
+    if (this->step != Step::Done && this->step != Step::WriteObjects)
+        this->sendHeadCall(now, outbox);
+}
+
+void Publisher::sendHeadCall(TimePoint now, Outbox &outbox)
+{
+    if (!this->headSlot.isReady(now))
+        return;
+    StoreCall call{ .key = std::string(headKey) };
+    if (this->step == Step::WriteHead || this->step == Step::Confirm) {
+        call.operation = StoreOperation::Put;
+        call.value = headText(this->step == Step::Confirm ? this->base : this->target);
+        call.version = this->baseObject;
+    }
+    if (this->headSlot.send(std::move(call), now, outbox) && this->step == Step::WriteHead)
+        ++this->unanswered;
+}
+
+void Publisher::sendObjects(TimePoint now, Outbox &outbox)
+{
+    for (ObjectWriter &writer : this->writers) {
+        if (writer.object && this->objects[*writer.object].written)
+            writer.object.reset();
+        if (!writer.object && this->nextObject < this->objects.size())
+            writer.object = this->nextObject++;
+        if (!writer.object || !writer.slot.isReady(now))
+            continue;
+        const ServiceObject &object = this->objects[*writer.object];
+        writer.slot.send({ .operation = StoreOperation::Put,
+                           .key = object.key,
+                           .value = object.text,
+                           .version = object.replaces },
+                         now, outbox);
+    }
+}
+
+void Publisher::onObjectAnswer(ObjectWriter &writer, const StoreAnswer &answer)
+{
+    if (!writer.object)
+        return;
+    ServiceObject &object = this->objects[*writer.object];
+    if (answer.status == StoreStatus::Ok)
+        object.written = true;
+    else if (answer.status == StoreStatus::Conflict)
+        // The object exists, from an earlier publish or a lost answer. Writing it again is cheaper
+        // than finding out whether its content is right.
+        object.replaces = answer.version;
+}
+
+void Publisher::onHeadAnswer(const StoreAnswer &answer, TimePoint now)
+{
+    if (this->headSlot.call().operation == StoreOperation::Get)
+        this->onHeadRead(answer, now);
+    else if (this->step == Step::Confirm)
+        this->onConfirmed(answer);
+    else
+        this->onHeadWritten(answer);
+}
+
+void Publisher::onHeadRead(const StoreAnswer &answer, TimePoint now)
+{
+    if (isUnreachable(answer.status))
+        return;
+    ConfigurationHead head;
+    std::string fault;
+    if (answer.status == StoreStatus::Ok) {
+        fault = leaf::try_handle_all(
+                [&]() -> Result<std::string> {
+                    BOOST_LEAF_ASSIGN(head, parseHead(answer.value));
+                    return std::string();
+                },
+                [](const Error &error) { return error.message; },
+                [] { return std::string("malformed"); });
+    }
+    const std::uint64_t object = answer.status == StoreStatus::Ok ? answer.version : 0;
+    const bool isStale = head.version < this->options.newestKnown && !this->options.force;
+    if (object < this->conflictObject || (fault.empty() && isStale)) {
+        this->staleHead = std::max(this->staleHead, head.version);
+        this->headSlot.delay(now);
+        return;
+    }
+    if (this->step == Step::ReadBack) {
+        if (fault.empty())
+            this->onReadBack(answer, std::move(head), now);
+        else
+            this->headSlot.delay(now);
+        return;
+    }
+    if (!fault.empty())
+        return this->reject(ErrorKind::InvalidContract, fault);
+    this->base = std::move(head);
+    this->baseObject = object;
+    this->plan();
+}
+
+void Publisher::onHeadWritten(const StoreAnswer &answer)
+{
+    if (answer.status == StoreStatus::Ok) {
+        this->finishAccepted(this->target.version);
+        return;
+    }
+    if (answer.status == StoreStatus::Conflict) {
+        // This write can't take effect any more; an earlier one may have caused the conflict.
+        --this->unanswered;
+        this->conflictObject = answer.version;
+    }
+    this->step = Step::ReadBack;
+}
+
+void Publisher::onConfirmed(const StoreAnswer &answer)
+{
+    if (answer.status == StoreStatus::Ok) {
+        const std::string by = this->base.changes.empty()
+                                       ? std::string()
+                                       : ", " + describe(this->base.changes.back());
+        this->finish(PublishResult::Unchanged, {}, "already in effect" + by);
+        return;
+    }
+    if (answer.status == StoreStatus::Conflict)
+        this->conflictObject = answer.version;
+    this->step = Step::ReadHead;
+}
+
+void Publisher::onReadBack(const StoreAnswer &answer, ConfigurationHead head, TimePoint now)
+{
+    if (const ChangeRecord *own = findChange(head, this->options.changeId)) {
+        this->finishAccepted(own->version);
+        return;
+    }
+    const std::uint64_t object = answer.status == StoreStatus::Ok ? answer.version : 0;
+    if (object <= this->baseObject) {
+        // The write hasn't taken effect, or this is a stale read. Sending the same conditional
+        // write again is safe: at most one of them can replace this base.
+        if (this->conflictObject == 0)
+            this->step = Step::WriteHead;
+        else
+            this->headSlot.delay(now);
+        return;
+    }
+    // If the write took effect and others followed, its record is in the head, unless more followed
+    // than the head has records.
+    const bool isCovered = !head.changes.empty()
+                           && (head.changes.size() < changeHistory
+                               || head.changes.front().version <= this->target.version);
+    if (this->unanswered > 0 && !isCovered)
+        return this->onDeadline();
+    this->onLost(std::move(head), object);
+}
+
+void Publisher::onLost(ConfigurationHead winner, std::uint64_t object)
+{
+    // The base has been replaced, so that none of the writes sent so far can take effect.
+    this->unanswered = 0;
+    const bool isRebasable =
+            this->change == Change::Zone
+            && zoneStateOf(winner, this->zone) == zoneStateOf(this->base, this->zone);
+    // The same head in a newer object: another publisher confirmed it.
+    const bool isSameHead = winner == this->base;
+    if (!isRebasable && !isSameHead)
+        return this->finishConflict(winner);
+    this->base = std::move(winner);
+    this->baseObject = object;
+    this->plan();
+}
+
+void Publisher::plan()
+{
+    this->objects.clear();
+    this->nextObject = 0;
+    for (ObjectWriter &writer : this->writers) {
+        writer.slot.reset();
+        writer.object.reset();
+    }
+    if (this->change == Change::LookUp) {
+        if (const ChangeRecord *own = findChange(this->base, this->options.changeId))
+            return this->finishAccepted(own->version);
+        return this->reject(ErrorKind::NotFound,
+                            "change " + this->options.changeId + " is not among the last "
+                                    + std::to_string(changeHistory) + " accepted changes");
+    }
+    if (findChange(this->base, this->options.changeId))
+        return this->reject(ErrorKind::InvalidArgument,
+                            "change " + this->options.changeId + " was accepted before");
+    if (this->change == Change::Contracts)
+        this->planContracts();
+    else
+        this->planZone();
+}
+
+void Publisher::planContracts()
+{
+    this->diff = {};
+    for (const ServiceContract &contract : this->contracts) {
+        const std::string &hash = this->hashes[contract.service];
+        const auto old = this->base.services.find(contract.service);
+        if (old != this->base.services.end() && old->second == hash)
+            continue;
+        const bool isNew = old == this->base.services.end();
+        (isNew ? this->diff.added : this->diff.changed).push_back(contract.service);
+        this->objects.push_back({ serviceKey(contract.service, hash), contractText(contract) });
+    }
+    for (const auto &[service, hash] : this->base.services) {
+        if (!this->hashes.contains(service))
+            this->diff.removed.push_back(service);
+    }
+    if (this->diff.isEmpty())
+        return this->planUnchanged();
+    this->planTarget(this->diffText());
+    this->target.services = this->hashes;
+    const std::size_t size = headText(this->target).size();
+    if (size > maxObject)
+        return this->reject(ErrorKind::InvalidContract,
+                            "the head would have " + std::to_string(size)
+                                    + " bytes, expected at most " + std::to_string(maxObject));
+    this->step = Step::WriteObjects;
+}
+
+void Publisher::planZone()
+{
+    if (!this->isKnownZone() && !this->options.force)
+        return this->reject(ErrorKind::UnknownZone,
+                            "zone \"" + this->zone.value
+                                    + "\" is neither in the configuration nor that of a live node");
+    if (zoneStateOf(this->base, this->zone) == this->zoneState)
+        return this->planUnchanged();
+    if (this->zoneState == ZoneState::Out && this->isLastZone() && !this->options.force)
+        return this->reject(
+                ErrorKind::InvalidArgument,
+                "zone \"" + this->zone.value
+                        + "\" is the last one that is in; taking it out must be forced");
+    this->planTarget("zone " + this->zone.value + " " + std::string(toString(this->zoneState)));
+    this->target.zones[this->zone] = this->zoneState;
+    this->step = Step::WriteHead;
+}
+
+void Publisher::planTarget(std::string summary)
+{
+    if (!this->options.reason.empty())
+        summary += "; " + this->options.reason;
+    this->target = this->base;
+    addChange(this->target,
+              { .version = std::max(this->base.version, this->options.newestKnown) + 1,
+                .changeId = this->options.changeId,
+                .author = this->options.author,
+                .time = this->options.time,
+                .summary = std::move(summary) });
+}
+
+void Publisher::planUnchanged()
+{
+    if (this->base.version != 0) {
+        this->step = Step::Confirm;
+        return;
+    }
+    this->finish(PublishResult::Unchanged, {}, "nothing was ever published");
+}
+
+bool Publisher::isKnownZone() const
+{
+    const auto &known = this->options.knownZones;
+    return this->base.zones.contains(this->zone)
+           || std::count(known.begin(), known.end(), this->zone) > 0;
+}
+
+bool Publisher::isLastZone() const
+{
+    const auto isOtherIn = [&](const ZoneName &other) {
+        return other != this->zone && zoneStateOf(this->base, other) == ZoneState::In;
+    };
+    const auto &known = this->options.knownZones;
+    return std::none_of(known.begin(), known.end(), isOtherIn)
+           && std::none_of(this->base.zones.begin(), this->base.zones.end(),
+                           [&](const auto &entry) { return isOtherIn(entry.first); });
+}
+
+std::string Publisher::diffText() const
+{
+    return counted("added", this->diff.added) + ", " + counted("changed", this->diff.changed) + ", "
+           + counted("removed", this->diff.removed);
+}
+
+void Publisher::onDeadline()
+{
+    const std::string &id = this->options.changeId;
+    if (this->unanswered > 0) {
+        this->finish(
+                PublishResult::OutcomeUnknown,
+                { ErrorKind::StoreTimeout, "no answer to the head write" },
+                "outcome not known yet: the store became unreachable after the write of change "
+                        + id + " was sent; check with: " + checkCommand(id));
+    } else if (this->step == Step::ReadBack) {
+        this->finish(PublishResult::Conflict,
+                     { ErrorKind::Conflict, "another change was accepted first" },
+                     "conflict: another change was accepted first; the store became unreachable "
+                     "before it could be read");
+    } else if (this->staleHead != 0) {
+        const std::string stale = "the store has version " + std::to_string(this->staleHead)
+                                  + ", nodes report " + std::to_string(this->options.newestKnown);
+        this->finish(PublishResult::NotAccepted, { ErrorKind::StoreTimeout, stale },
+                     "not accepted: " + stale);
+    } else {
+        const std::string reason = "the store could not be reached in time";
+        this->finish(PublishResult::NotAccepted, { ErrorKind::StoreUnavailable, reason },
+                     "not accepted: " + reason + "; nothing was changed");
+    }
+}
+
+void Publisher::finish(PublishResult kind, Error error, std::string message)
+{
+    this->step = Step::Done;
+    this->result = PublishOutcome{ .result = kind,
+                                   .changeId = this->options.changeId,
+                                   .version = this->base.version,
+                                   .diff = this->diff,
+                                   .error = std::move(error),
+                                   .message = std::move(message) };
+}
+
+void Publisher::finishAccepted(ConfigurationVersion version)
+{
+    this->finish(PublishResult::Accepted, {}, "accepted as version " + std::to_string(version));
+    this->result->version = version;
+}
+
+void Publisher::finishConflict(const ConfigurationHead &winner)
+{
+    std::string lost = "another change was accepted first";
+    if (!winner.changes.empty())
+        lost += ": " + describe(winner.changes.back());
+    this->finish(PublishResult::Conflict, { ErrorKind::Conflict, lost }, "conflict: " + lost);
+    this->result->version = winner.version;
+    if (!winner.changes.empty())
+        this->result->winner = winner.changes.back();
+}
+
+void Publisher::reject(ErrorKind kind, const std::string &message)
+{
+    this->finish(PublishResult::Rejected, { kind, message }, "rejected: " + message);
+}
+
+std::string checkCommand(const std::string &changeId)
+{
+    return "cactusdeck status --change " + changeId;
+}
+
+} // namespace cactusdeck
--- a/core/publisher.h
+++ b/core/publisher.h
@@ -2,6 +2,7 @@
 #define CACTUSDECK_CORE_PUBLISHER_H
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,6 +53,8 @@
 };
 
 std::string_view toString(PublishResult result);
+// The command that finds out whether a change was accepted; it calls Publisher::lookUp.
+std::string checkCommand(const std::string &changeId);
 
 // What a set of contracts changes.
 struct ContractDiff
@@ -60,7 +63,10 @@
     std::vector<ServiceName> changed;
     std::vector<ServiceName> removed;
 
-    bool isEmpty() const { return added.empty() && changed.empty() && removed.empty(); }
+    bool isEmpty() const
+    {
+        return this->added.empty() && this->changed.empty() && this->removed.empty();
+    }
 };
 
 struct PublishOutcome
@@ -93,65 +99,73 @@
 private:
     enum class Change : std::uint8_t { Contracts, Zone, LookUp };
     enum class Step : std::uint8_t {
-        ReadHead, // before anything is written
+        ReadHead, // before the head write is sent
         WriteObjects,
         WriteHead,
-        ReadBack, // after a head write whose answer didn't come
-        ReadWinner, // after a conflict
+        Confirm, // rewrites the head unchanged, since the read that found no difference may be
+                 // stale
+        ReadBack, // after a conflict, or a head write whose answer didn't come
         Done,
     };
-    struct ObjectWrite
-    {
-        StoreSlot slot;
-        std::optional<std::size_t> object; // index in objects
-        std::uint64_t version = 0; // object version that is replaced
-    };
     struct ServiceObject
     {
         std::string key;
         std::string text;
-        bool started = false;
+        std::uint64_t replaces = 0; // object version
         bool written = false;
-        std::uint64_t replaces = 0;
+    };
+    struct ObjectWriter
+    {
+        StoreSlot slot;
+        std::optional<std::size_t> object; // index in objects
     };
 
     StoreSlot headSlot;
-    std::vector<ObjectWrite> writes;
+    std::vector<ObjectWriter> writers;
     PublisherOptions options;
-    Change change = Change::Contracts;
+    Change change = Change::LookUp;
     Step step = Step::Done;
     TimePoint deadline;
     std::vector<ServiceContract> contracts;
+    std::map<ServiceName, std::string> hashes; // of contracts
     ZoneName zone;
     ZoneState zoneState = ZoneState::In;
 
     ConfigurationHead base; // head that was read
     std::uint64_t baseObject = 0; // its store version
     ConfigurationHead target;
+    ContractDiff diff;
     std::vector<ServiceObject> objects;
-    std::uint64_t winnerObject = 0; // store version that the conflict named
-    bool confirming = false; // the pending head write only confirms that nothing changed
-    bool ambiguous = false; // a head write may have taken effect
+    std::size_t nextObject = 0; // first one without a writer
+    std::uint64_t conflictObject = 0; // store version that a conflict named; older heads are stale
+    int unanswered = 0; // head writes that may still take effect
+    ConfigurationVersion staleHead = 0; // newest head that was older than newestKnown
     std::optional<PublishOutcome> result;
-    ContractDiff diff;
 
     void begin(Change kind, TimePoint now, Outbox &outbox);
     void advance(TimePoint now, Outbox &outbox);
-    void sendObjectWrites(TimePoint now, Outbox &outbox);
-    void handle(const StoreAnswer &answer, TimePoint now);
+    void sendHeadCall(TimePoint now, Outbox &outbox);
+    void sendObjects(TimePoint now, Outbox &outbox);
+    void onHeadAnswer(const StoreAnswer &answer, TimePoint now);
     void onHeadRead(const StoreAnswer &answer, TimePoint now);
-    void onHeadWritten(const StoreAnswer &answer, TimePoint now);
-    void onReadBack(const StoreAnswer &answer, const ConfigurationHead &head, TimePoint now);
-    void onObjectWritten(ObjectWrite &write, const StoreAnswer &answer);
+    void onHeadWritten(const StoreAnswer &answer);
+    void onConfirmed(const StoreAnswer &answer);
+    void onReadBack(const StoreAnswer &answer, ConfigurationHead head, TimePoint now);
+    void onObjectAnswer(ObjectWriter &writer, const StoreAnswer &answer);
+    void onLost(ConfigurationHead winner, std::uint64_t object);
     void onDeadline();
     void plan();
     void planContracts();
     void planZone();
+    void planTarget(std::string summary);
+    void planUnchanged();
+    bool isKnownZone() const;
     bool isLastZone() const;
+    std::string diffText() const;
     void finish(PublishResult kind, Error error, std::string message);
     void finishAccepted(ConfigurationVersion version);
     void finishConflict(const ConfigurationHead &winner);
-    void reject(ErrorKind kind, std::string message);
+    void reject(ErrorKind kind, const std::string &message);
 };
 
 } // namespace cactusdeck
--- a/core/statuswriter.h
+++ b/core/statuswriter.h
@@ -54,14 +54,15 @@
     std::string summary;
     std::vector<Endpoint> balancers;
     std::optional<std::uint64_t> objectVersion; // none: must be read first
-    std::uint64_t termOfVersion = 0; // own term when objectVersion was learned
+    std::uint64_t term = 0; // own term when objectVersion was learned
+    std::string pending; // value of the write that wasn't answered yet
     std::string written; // value that the store has, as far as known
     std::optional<TimePoint> writtenAt;
 
-    std::string encode(std::uint64_t term) const;
-    void onReadAnswer(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
-    void onWriteAnswer(const StoreAnswer &answer);
-    bool isDue(const std::string &value, TimePoint now) const;
+    std::string encode() const;
+    void handle(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
+    void onRead(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
+    void forget();
 };
 
 } // namespace cactusdeck
--- a/core/storecalls.h
+++ b/core/storecalls.h
@@ -71,15 +71,13 @@
     bool isReady(TimePoint now) const;
     // False when the slot isn't ready or the budget is used up; try again at the next timer.
     bool send(StoreCall call, TimePoint now, Outbox &outbox);
-    // True when this answers the pending call. Unavailable and Timeout start a backoff, any other
-    // status ends it.
+    // True when this answers the pending call. Unavailable and Timeout start a backoff; an answer
+    // without a delay ends it.
     bool accept(const StoreAnswer &answer, TimePoint now);
     // The call whose time is up, as an answer with status Timeout. A later answer to it is ignored.
     std::optional<StoreAnswer> expire(TimePoint now);
     // Waits before the next call although the store answered, for example after a stale read.
     void delay(TimePoint now);
-    // Ends a run of delays.
-    void settle() { this->failures = 0; }
     // Forgets the pending call and the backoff.
     void reset();
 
@@ -94,7 +92,8 @@
     TimePoint sent;
     TimePoint deadline;
     TimePoint notBefore;
-    int failures = 0;
+    int failures = 0; // in a row
+    bool delayed = false; // since the last answer
 };
 
 } // namespace cactusdeck
--- a/core/storereader.h
+++ b/core/storereader.h
@@ -58,17 +58,19 @@
     ConfigurationPointer known;
     std::optional<ConfigurationHead> wanted; // being fetched
     std::map<std::string, ContractPointer> fetched; // by hash
-    ConfigurationVersion refused = 0; // malformed, already logged
 
-    ConfigurationPointer onHead(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
+    void onHead(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
     void onHeadValue(const StoreAnswer &answer, TimePoint now, Outbox &outbox);
     void onObject(Fetch &fetch, const StoreAnswer &answer, TimePoint now, Outbox &outbox);
-    void want(ConfigurationHead head);
     void refuse(const std::string &reason, Outbox &outbox);
+    void stopFetching();
     void sendHeadCall(TimePoint now, Outbox &outbox);
+    void assignFetches();
     void sendFetches(TimePoint now, Outbox &outbox);
     ContractPointer have(const ServiceName &service, const std::string &hash) const;
     bool isFetching(const ServiceName &service) const;
+    // The wanted version, when all of its contracts are there.
+    ConfigurationPointer complete(Outbox &outbox);
     ConfigurationPointer advance(TimePoint now, Outbox &outbox);
 };
 
