--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -21,7 +21,7 @@
     return std::uint32_t(std::chrono::floor<Tick>(now.time_since_epoch()).count());
 }
 
-constexpr std::array<std::string_view, 7> reasonNames = {
+constexpr std::array<std::string_view, routeReasonCount> reasonNames = {
     "cached_owner",    "lookup",   "new_flow", "retried_new_flow",
     "unknown_service", "no_agent", "zone_out",
 };
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -34,6 +34,8 @@
     ZoneOut, // the owner's failure domain was taken out of service
 };
 
+inline constexpr std::size_t routeReasonCount = std::size_t(RouteReason::ZoneOut) + 1;
+
 std::string_view nameOf(RouteReason reason);
 
 inline bool isForwarded(RouteReason reason)
--- a/core/forwarder_test.cpp
+++ b/core/forwarder_test.cpp
@@ -218,18 +218,15 @@
     fixture.records[5].phase = Phase::Draining;
     fixture.rebuild({});
     const Bucket bucket = bucketOf(hashOf(flow(4000)));
-    std::vector<HoldingsReport> reports;
+    ServiceReports reports;
     for (const NodeRecord &record : fixture.records)
-        reports.push_back(
-                { .agent = record.id,
-                  .digest = fixture.digest,
-                  .buckets = bitmapOf(record.id == fixture.records[5].id ? bucket
-                                                                         : Bucket(bucket + 1)) });
-    ServiceReports byAgent;
-    for (const HoldingsReport &report : reports)
-        byAgent[report.agent] = &report;
-    reports[9].digest = fixture.digest + 1;
-    fixture.rebuild(byAgent);
+        reports[record.id] = {
+            .agent = record.id,
+            .digest = fixture.digest,
+            .buckets = bitmapOf(record.id == fixture.records[5].id ? bucket : Bucket(bucket + 1))
+        };
+    reports[fixture.records[9].id].digest = fixture.digest + 1;
+    fixture.rebuild(reports);
     fixture.send(4000, tcpflag::ack);
     std::set<Endpoint> asked;
     for (std::size_t i = 0; i < fixture.frame.hopCount; ++i)
--- a/core/holdingsindex.cpp
+++ b/core/holdingsindex.cpp
@@ -40,7 +40,7 @@
     route.unconfirmed.clear();
     for (const SlotIndex slot : route.carriers) {
         const auto it = reports.find(registry.at(slot).id);
-        const HoldingsReport *report = it == reports.end() ? nullptr : it->second;
+        const HoldingsReport *report = it == reports.end() ? nullptr : &it->second;
         const Bitmap bitmap = report == nullptr ? Bitmap(nullptr, &roaring_bitmap_free)
                                                 : readBitmap(report->buckets);
         if (bitmap)
--- a/core/holdingsindex.h
+++ b/core/holdingsindex.h
@@ -17,7 +17,7 @@
 namespace cactusdeck {
 
 // The newest report of each agent for one service.
-using ServiceReports = std::map<NodeId, const HoldingsReport *>;
+using ServiceReports = std::map<NodeId, HoldingsReport>;
 
 void indexHoldings(const ServiceReports &reports, const AgentRegistry &registry,
                    ServiceRoute &route);
