Add headers of membership, gossip, budget, monitor and announcer

The agent and the balancer compose these classes, so their interfaces come first.

Control messages change: HeartbeatAck names the monitor by endpoint, echoes the sequence and carries a digest of holdings reports; Members travels in pieces; Gossip marks repair answers; ShardRequest compares cells of a shard; probes and digests carry the configuration version. encodedSize gives the size of a message without encoding it.

--- /dev/null
+++ b/core/gossip.h
@@ -0,0 +1,131 @@
+#ifndef CACTUSDECK_CORE_GOSSIP_H
+#define CACTUSDECK_CORE_GOSSIP_H
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/controlbudget.h"
+#include "core/membership.h"
+
+// Spreads changes of membership and holdings among balancers, and repairs differences.
+//
+//     GossipSpread gossip({ .seeds = seeds, .seed = 1 }, membership, budget);
+//     gossip.start(now, outbox);                           // asks a seed for everything
+//     gossip.onControl(message, now, outbox);              // Gossip, DigestExchange, ShardRequest
+//     gossip.report(holdingsReport, now);                  // from an agent
+//     gossip.onTimer(now, outbox);
+//     for (HoldingsReport &report : gossip.takeHoldings()) // newly learned, for the index
+//         ...
+//
+// Cost, sent by each node, at 760 balancers and 6,200 agents (a record has about 70 bytes):
+// - a change: at most 3 log2(n) = 29 copies of one record, 2 KB; copies received from others count
+//   as sent. Nothing is sent while nothing changes.
+// - a digest exchange every 5 s: 130 bytes, answered only if the digests differ.
+// - a repair: 190 bytes of cell digests for each differing shard, answered with the records of the
+//   differing cells only (about 1 KB a cell), at most repairDatagrams datagrams per request.
+// - a joiner: the table (500 KB) is taken from many balancers, at most repairDatagrams each time.
+
+namespace cactusdeck {
+
+struct GossipOptions
+{
+    std::vector<Endpoint> seeds; // control endpoints of balancers; the node's own is skipped
+    std::uint64_t seed = 0;
+    Duration round = std::chrono::milliseconds(100);
+    std::size_t fanout = 3; // peers per round
+    double copies = 3.0; // copies of a change in units of log2(balancers)
+    Duration digestInterval = std::chrono::seconds(5);
+    Duration joinRetry = std::chrono::milliseconds(250); // doubled up to digestInterval
+    std::size_t repairDatagrams = 8; // per ShardRequest
+};
+
+// Identifies the newest report of an agent for a service; XOR over services gives the digest that
+// travels in HeartbeatAck.
+std::uint32_t reportDigest(const HoldingsReport &report);
+
+class GossipSpread
+{
+public:
+    // The references must outlive this object.
+    GossipSpread(GossipOptions options, Membership &membership, ControlBudget &budget);
+
+    void start(TimePoint now, Outbox &outbox);
+    // Handles Gossip, DigestExchange and ShardRequest; ignores other messages.
+    void onControl(const ControlMessage &message, TimePoint now, Outbox &outbox);
+    void onTimer(TimePoint now, Outbox &outbox);
+    // Sends what is pending without waiting for the next round, for a node that stops.
+    void pushNow(TimePoint now, Outbox &outbox);
+
+    // A report from an agent itself; older ones than the known are ignored.
+    void report(const HoldingsReport &report);
+    // Reports learned since the last call.
+    std::vector<HoldingsReport> takeHoldings();
+    // XOR of reportDigest over the known reports of the agent.
+    std::uint32_t holdingsDigest(const NodeId &agent) const;
+
+    // Newest configuration of this node, named in outgoing messages.
+    void setConfiguration(ConfigurationVersion version) { this->configuration = version; }
+    // True once the table agrees with that of another balancer, or if there is no other balancer
+    // among the seeds. Until then a balancer should take no packets.
+    bool isJoined() const { return this->joined; }
+    std::size_t pendingChanges() const { return this->records.size() + this->reports.size(); }
+
+private:
+    using ReportKey = std::pair<NodeId, ServiceId>;
+    struct Item // one pending change in a datagram
+    {
+        bool death = false;
+        int sent = 0;
+        std::size_t bytes = 0;
+        const NodeRecord *record = nullptr;
+        const HoldingsReport *report = nullptr;
+    };
+
+    int copyLimit() const;
+    void collectChanges();
+    void merge(const Gossip &gossip, TimePoint now, Outbox &outbox);
+    bool mergeReport(const HoldingsReport &report);
+    void dropReports(const NodeId &agent);
+    void push(TimePoint now, Outbox &outbox);
+    std::vector<Item> pendingItems();
+    std::size_t fill(Gossip &gossip, std::vector<Item> &items, std::size_t room);
+    void countSent(const Gossip &gossip);
+    std::vector<Endpoint> choosePeers(std::size_t count);
+    std::vector<std::uint32_t> shardDigests() const;
+    std::uint32_t cellDigest(std::size_t cell) const;
+    void onDigests(const DigestExchange &digests, TimePoint now, Outbox &outbox);
+    void requestShards(const std::vector<std::uint8_t> &shards, Endpoint from, TimePoint now,
+                       Outbox &outbox);
+    void onShardRequest(const ShardRequest &request, TimePoint now, Outbox &outbox);
+    std::vector<std::size_t> differingCells(const ShardRequest &request) const;
+    void sendCells(const std::vector<std::size_t> &cells, Endpoint to, TimePoint now,
+                   Outbox &outbox);
+    void exchangeDigests(Endpoint with, bool answer, TimePoint now, Outbox &outbox);
+    Endpoint chooseExchangePeer();
+    void join(TimePoint now, Outbox &outbox);
+
+    GossipOptions options;
+    Membership &membership;
+    ControlBudget &budget;
+    std::mt19937_64 random;
+    ConfigurationVersion configuration = 0;
+    std::unordered_map<NodeId, int> records; // pending changes: copies sent
+    std::map<ReportKey, int> reports;
+    std::map<ReportKey, HoldingsReport> holdings;
+    std::array<std::uint32_t, cellCount> reportDigests{};
+    std::vector<ReportKey> learned;
+    bool joined = false;
+    std::uint64_t exchanges = 0;
+    Duration joinDelay{};
+    TimePoint nextRound{};
+    TimePoint nextExchange{};
+};
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_CORE_GOSSIP_H
--- a/core/message.cpp
+++ b/core/message.cpp
@@ -23,18 +23,19 @@
                   m.liveness, m.phase, m.group, m.weight, m.configuration)
 CACTUSDECK_FIELDS(Heartbeat, m.record)
 CACTUSDECK_FIELDS(ServiceDigest, m.service, m.digest)
-CACTUSDECK_FIELDS(HeartbeatAck, m.monitor, m.incarnation, m.suspected, m.configuration, m.services,
-                  m.monitors)
+CACTUSDECK_FIELDS(HeartbeatAck, m.monitor, m.incarnation, m.sequence, m.suspected, m.configuration,
+                  m.services, m.monitors, m.holdings)
 CACTUSDECK_FIELDS(Member, m.id, m.weight)
 CACTUSDECK_FIELDS(MembersRequest, m.replyTo, m.service)
-CACTUSDECK_FIELDS(Members, m.service, m.members)
+CACTUSDECK_FIELDS(Members, m.service, m.digest, m.piece, m.pieces, m.members)
 CACTUSDECK_FIELDS(HoldingsReport, m.agent, m.incarnation, m.sequence, m.service, m.digest,
                   m.buckets)
-CACTUSDECK_FIELDS(Gossip, m.from, m.configuration, m.records, m.holdings)
-CACTUSDECK_FIELDS(DigestExchange, m.from, m.replyTo, m.shards, m.answer)
+CACTUSDECK_FIELDS(Gossip, m.from, m.configuration, m.repair, m.records, m.holdings)
+CACTUSDECK_FIELDS(DigestExchange, m.from, m.replyTo, m.configuration, m.shards, m.answer)
+CACTUSDECK_FIELDS(ShardCells, m.shard, m.cells)
 CACTUSDECK_FIELDS(ShardRequest, m.replyTo, m.shards)
-CACTUSDECK_FIELDS(Probe, m.from, m.replyTo, m.number, m.relayTo)
-CACTUSDECK_FIELDS(ProbeAck, m.from, m.incarnation, m.number)
+CACTUSDECK_FIELDS(Probe, m.from, m.replyTo, m.number, m.configuration, m.relayTo)
+CACTUSDECK_FIELDS(ProbeAck, m.from, m.incarnation, m.number, m.configuration)
 CACTUSDECK_FIELDS(ConfigurationNotice, m.from, m.replyTo, m.version)
 CACTUSDECK_FIELDS(ConfigurationRequest, m.replyTo, m.have, m.group)
 CACTUSDECK_FIELDS(ConfigurationDelta, m.from, m.to, m.head, m.contracts, m.removed, m.group)
@@ -82,6 +83,49 @@
     }
 }
 
+// Bytes of a CBOR item head: lengths and unsigned numbers.
+constexpr std::size_t headSize(std::uint64_t number)
+{
+    if (number < 24)
+        return 1;
+    if (number <= UINT8_MAX)
+        return 2;
+    if (number <= UINT16_MAX)
+        return 3;
+    return number <= UINT32_MAX ? 5 : 9;
+}
+
+template <typename T>
+std::size_t sizeOf(const T &value)
+{
+    if constexpr (std::is_same_v<T, std::vector<std::uint8_t>>) {
+        return headSize(value.size()) + value.size();
+    } else if constexpr (std::is_same_v<T, Endpoint>) {
+        return headSize((std::uint64_t(value.address) << 16) | value.port);
+    } else if constexpr (isOptional<T>) {
+        return value ? sizeOf(*value) : 1;
+    } else if constexpr (isVector<T>) {
+        std::size_t size = headSize(value.size());
+        for (const auto &element : value)
+            size += sizeOf(element);
+        return size;
+    } else if constexpr (Structure<T>) {
+        return std::apply(
+                [](const auto &...field) {
+                    return headSize(sizeof...(field)) + (sizeOf(field) + ... + 0);
+                },
+                fieldsOf(value));
+    } else if constexpr (std::is_same_v<T, bool>) {
+        return 1;
+    } else if constexpr (std::is_enum_v<T> || std::is_unsigned_v<T>) {
+        return headSize(std::uint64_t(value));
+    } else if constexpr (std::is_same_v<T, json>) {
+        return json::to_cbor(value).size();
+    } else {
+        return headSize(value.value.size()) + value.value.size(); // a name
+    }
+}
+
 // The largest value of each enumeration that travels in a message; others are any number.
 constexpr std::uint8_t lastOf(Role)
 {
@@ -169,6 +213,22 @@
     return json::to_cbor(envelope);
 }
 
+std::size_t encodedSize(const ControlMessage &message)
+{
+    const std::size_t envelope = 2 + headSize(message.index()); // array head, version, kind
+    return envelope + std::visit([](const auto &value) { return sizeOf(value); }, message);
+}
+
+std::size_t encodedSize(const NodeRecord &record)
+{
+    return sizeOf(record);
+}
+
+std::size_t encodedSize(const HoldingsReport &report)
+{
+    return sizeOf(report);
+}
+
 Result<ControlMessage> decodeMessage(std::span<const std::uint8_t> bytes)
 {
     try {
--- a/core/message.h
+++ b/core/message.h
@@ -36,8 +36,9 @@
     Draining, // takes no new flows, keeps its established ones
 };
 
-// Membership record of one node. A record with a higher (incarnation, sequence) replaces a lower
-// one; for equal numbers the worse liveness wins.
+// Membership record of one node. The higher incarnation wins; within an incarnation Dead and Left
+// are final, then the higher sequence wins, then the worse liveness. The configuration does not
+// take part: it is known for nodes that this node hears from, and may lag for others.
 struct NodeRecord
 {
     NodeId id;
@@ -72,12 +73,14 @@
 // Monitor to agent.
 struct HeartbeatAck
 {
-    NodeId monitor;
-    Incarnation incarnation = 0; // the agent's incarnation that this answers
+    Endpoint monitor; // control endpoint, for requests
+    Incarnation incarnation = 0; // of the agent's record in the monitor's table
+    std::uint32_t sequence = 0; // likewise
     bool suspected = false; // the agent should refute with a higher incarnation
     ConfigurationVersion configuration = 0;
-    std::vector<ServiceDigest> services; // those that the agent's group carries
+    std::vector<ServiceDigest> services; // some of those that the agent's group carries, in turn
     std::vector<Endpoint> monitors; // control endpoints that the agent should heartbeat to
+    std::uint32_t holdings = 0; // digest of the agent's reports that the monitor has
 };
 
 // One member of a placement table.
@@ -96,9 +99,13 @@
     ServiceId service{};
 };
 
+// One piece of a member list; a list that fits into a datagram has one piece.
 struct Members
 {
     ServiceId service{};
+    TableDigest digest = 0; // of the complete list
+    std::uint16_t piece = 0;
+    std::uint16_t pieces = 1;
     std::vector<Member> members;
 };
 
@@ -118,6 +125,7 @@
 {
     NodeId from;
     ConfigurationVersion configuration = 0;
+    bool repair = false; // an answer to ShardRequest, not news
     std::vector<NodeRecord> records;
     std::vector<HoldingsReport> holdings;
 };
@@ -127,15 +135,23 @@
 {
     NodeId from;
     Endpoint replyTo;
+    ConfigurationVersion configuration = 0;
     std::vector<std::uint32_t> shards;
     bool answer = false; // true: sent back, must not be answered again
 };
 
-// Asks for all records and reports of the named shards; a joiner names all of them.
+// The requester's digest of each cell of a shard; empty if it has no records there.
+struct ShardCells
+{
+    std::uint8_t shard = 0;
+    std::vector<std::uint32_t> cells;
+};
+
+// Asks for the records and reports of those cells whose digests differ from the receiver's.
 struct ShardRequest
 {
     Endpoint replyTo;
-    std::vector<std::uint8_t> shards;
+    std::vector<ShardCells> shards;
 };
 
 struct Probe
@@ -143,6 +159,7 @@
     NodeId from;
     Endpoint replyTo;
     std::uint32_t number = 0;
+    ConfigurationVersion configuration = 0;
     std::optional<Endpoint> relayTo; // indirect probe: forward to this endpoint
 };
 
@@ -151,6 +168,7 @@
     NodeId from;
     Incarnation incarnation = 0;
     std::uint32_t number = 0;
+    ConfigurationVersion configuration = 0;
 };
 
 // A newer configuration exists; sent at once to agents and peers.
@@ -187,6 +205,12 @@
 std::vector<std::uint8_t> encodeMessage(const ControlMessage &message);
 Result<ControlMessage> decodeMessage(std::span<const std::uint8_t> bytes);
 
+// Size in bytes that encodeMessage gives, without encoding. Messages with JSON documents are
+// encoded to find out.
+std::size_t encodedSize(const ControlMessage &message);
+std::size_t encodedSize(const NodeRecord &record);
+std::size_t encodedSize(const HoldingsReport &report);
+
 } // namespace cactusdeck
 
 #endif // CACTUSDECK_CORE_MESSAGE_H
--- /dev/null
+++ b/core/monitor.h
@@ -0,0 +1,145 @@
+#ifndef CACTUSDECK_CORE_MONITOR_H
+#define CACTUSDECK_CORE_MONITOR_H
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "core/controlbudget.h"
+#include "core/membership.h"
+
+// A balancer's failure detector: probes other balancers and receives heartbeats of agents.
+//
+//     Monitor monitor({ .seed = 1 }, sources, membership, budget);
+//     monitor.onControl(message, now, outbox);   // every message; see onControl
+//     monitor.onTimer(now, outbox);              // every tickInterval
+//
+// Balancers are probed in a random order, one a second. A probe without an answer is repeated, also
+// through 2 other balancers, and after probeTimeout the target is suspect. Agents that are silent
+// for longer than silenceBeforeProbe are probed in the same way, so that lost heartbeats or a link
+// broken in one direction are no suspicion. A suspect node is dead after deadAfter. A suspected
+// node is told directly and refutes with a higher incarnation.
+//
+// A node that was paused (its timer came more than pauseThreshold late) suspects nobody for what
+// it missed. A node whose own probes fail for the most part, or that hears nothing at all, blames
+// itself and suspects nobody new.
+//
+// Cost at 760 balancers and 6,200 agents (16 agents a monitor): 16 HeartbeatAcks of about 75 bytes
+// and one or two probes of 40 bytes with answers a second, 1.3 KB/s. A heartbeat names at most
+// servicesPerAck services, in turn. Members travels in pieces of one datagram, on request only.
+
+namespace cactusdeck {
+
+inline constexpr std::size_t monitorsPerAgent = 2;
+// Services named in one HeartbeatAck. The others follow with the next heartbeats.
+inline constexpr std::size_t servicesPerAck = 8;
+
+struct MonitorOptions
+{
+    std::uint64_t seed = 0;
+    Duration probeInterval = std::chrono::seconds(1);
+    Duration probeRepeat = std::chrono::milliseconds(250);
+    Duration probeTimeout = std::chrono::seconds(2);
+    Duration silenceBeforeProbe = std::chrono::milliseconds(1200);
+    Duration suspectAfter = std::chrono::seconds(2); // silence of an agent
+    Duration deadAfter = std::chrono::seconds(4); // suspect nodes of both roles
+    // An agent needs this time to find a newly assigned monitor.
+    Duration assignmentGrace = std::chrono::seconds(6);
+    Duration pauseThreshold = std::chrono::seconds(1);
+};
+
+// What the monitor needs from the rest of the balancer.
+struct MonitorSources
+{
+    std::function<ConfigurationVersion()> configuration; // newest version of this node
+    // Services that a group carries, with the digests of their tables in this node's view.
+    std::function<std::vector<ServiceDigest>(const GroupName &)> services;
+    // Members of a service's table; see placementMembers().
+    std::function<std::vector<Member>(ServiceId)> members;
+    // GossipSpread::holdingsDigest.
+    std::function<std::uint32_t(const NodeId &)> holdingsDigest;
+};
+
+class Monitor
+{
+public:
+    // The references must outlive this object.
+    Monitor(MonitorOptions options, MonitorSources sources, Membership &membership,
+            ControlBudget &budget);
+
+    // Handles Heartbeat, MembersRequest, Probe and ProbeAck. All other messages count as a sign
+    // that this node is not cut off, so the owner passes every message.
+    void onControl(const ControlMessage &message, TimePoint now, Outbox &outbox);
+    void onTimer(TimePoint now, Outbox &outbox);
+
+    // Control endpoints of the balancers that monitor the agent, by rendezvous hashing.
+    std::vector<Endpoint> monitorsOf(const NodeId &agent) const;
+    bool isMonitorOf(const NodeId &agent) const;
+    // Agents that this node monitors.
+    std::vector<NodeId> monitored() const;
+    // Lowest configuration version of this node's usable monitored agents; UINT64_MAX without any.
+    ConfigurationVersion slowestConfiguration() const;
+
+private:
+    struct Watch // an agent that this node monitors
+    {
+        TimePoint heard;
+        TimePoint nextProbe;
+    };
+    struct Pending // a probe of a balancer without an answer so far
+    {
+        NodeId target;
+        TimePoint started;
+        TimePoint nextRepeat;
+    };
+    struct Relay // a probe that is forwarded for another balancer
+    {
+        Endpoint origin;
+        std::uint32_t originNumber = 0;
+        TimePoint expires;
+    };
+
+    void onHeartbeat(const NodeRecord &record, TimePoint now, Outbox &outbox);
+    HeartbeatAck acknowledge(const NodeRecord &record);
+    void onMembersRequest(const MembersRequest &request, TimePoint now, Outbox &outbox);
+    void onProbe(const Probe &probe, TimePoint now, Outbox &outbox);
+    void onProbeAck(const ProbeAck &ack, TimePoint now, Outbox &outbox);
+    void resumeAfterPause(TimePoint now, Outbox &outbox);
+    void updateAssignment(TimePoint now);
+    void watchAgents(TimePoint now, Outbox &outbox);
+    void probeBalancers(TimePoint now, Outbox &outbox);
+    void startProbe(TimePoint now, Outbox &outbox);
+    void repeatProbes(TimePoint now, Outbox &outbox);
+    bool probe(const NodeRecord &target, bool indirect, TimePoint now, Outbox &outbox);
+    void suspect(const NodeId &id, TimePoint now, Outbox &outbox);
+    void declareDead(TimePoint now, Outbox &outbox);
+    void tell(const NodeRecord &record, TimePoint now, Outbox &outbox);
+    void noteOutcome(bool answered);
+    bool blamesItself(TimePoint now) const;
+
+    MonitorOptions options;
+    MonitorSources sources;
+    Membership &membership;
+    ControlBudget &budget;
+    std::mt19937_64 random;
+    std::unordered_map<NodeId, Watch> watches;
+    std::uint64_t assignedBalancers = 0; // generations of the present assignment
+    std::uint64_t assignedAgents = 0;
+    std::vector<NodeId> probeOrder;
+    std::deque<Pending> pending;
+    std::unordered_map<std::uint32_t, Relay> relays;
+    std::uint32_t nextNumber = 1;
+    std::uint32_t ackRotation = 0;
+    std::deque<bool> outcomes; // of the latest probes of balancers
+    TimePoint lastTimer{};
+    TimePoint lastHeard{};
+    TimePoint nextProbe{};
+    bool started = false;
+};
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_CORE_MONITOR_H
