Add agent data path, admission, flow table and adoption probes

Change: flow table with sequence tracking, admission with learned limits, request queue, adoption probes, holdings reports, caller and server paths, and the Agent that composes them.

--- /dev/null
+++ b/core/admission.cpp
@@ -0,0 +1,310 @@
+#include "core/admission.h"
+
+#include <array>
+
+#include "core/frame.h"
+
+namespace cactusdeck {
+
+namespace {
+
+// A single slow response may be a slow request; several in a row are overload.
+constexpr std::uint32_t slowResponsesForHalving = 3;
+constexpr std::uint32_t signsForCold = 2;
+// Completions at normal latency before the limit doubles: at least a few, and each slot twice.
+constexpr std::uint32_t minCompletionsForDoubling = 4;
+// A cold server whose endpoint reports nothing unusual is announced as serving after this time;
+// otherwise balancers that avoid cold agents would never give it the requests that warm it.
+constexpr std::chrono::seconds announcedCold{ 5 };
+
+} // namespace
+
+const char *nameOf(FlowDecision decision)
+{
+    static constexpr std::array names = { "accept", "connections", "busy", "silent", "draining" };
+    return names[std::size_t(decision)];
+}
+
+void Admission::start(TimePoint now)
+{
+    this->coldSince = now;
+    this->statusSince = now;
+}
+
+void Admission::setLimits(const AdmissionLimits &limits)
+{
+    this->configured = limits;
+    this->configured.coldSlots = std::min(limits.coldSlots, limits.slots);
+    if (!this->hasLimits)
+        this->learnedLimit = this->configured.coldSlots;
+    this->hasLimits = true;
+    this->learnedLimit = std::min(this->learnedLimit, this->configured.slots);
+}
+
+FlowDecision Admission::decideFlow(const FlowRequest &request, TimePoint now)
+{
+    if (this->isDraining)
+        return FlowDecision::Draining;
+    if (request.connections >= this->configured.connections)
+        return FlowDecision::Connections;
+    if (this->isSilent(now)) {
+        if (now - this->lastTrial < silenceLimit)
+            return FlowDecision::Silent;
+        this->lastTrial = now;
+        return FlowDecision::Accept;
+    }
+    const std::size_t busy = this->active + this->inherited + request.waiting;
+    if (request.waiting >= maxWaiting)
+        return FlowDecision::Busy;
+    if (!request.isLastHop)
+        return busy < this->learnedLimit ? FlowDecision::Accept : FlowDecision::Busy;
+    // The last hop accepts what it can serve within half of the deadline.
+    const Duration latency =
+            this->latencies.isKnown() ? this->latencies.latency() : Duration(initialLatency);
+    const auto wait = latency * std::int64_t(busy) / this->learnedLimit;
+    return wait <= this->configured.requestDeadline / 2 ? FlowDecision::Accept : FlowDecision::Busy;
+}
+
+std::uint32_t Admission::allot(TimePoint now, bool isUnasked)
+{
+    if (this->freeTickets.empty()) {
+        this->freeTickets.push_back(std::uint32_t(this->requests.size()));
+        this->requests.emplace_back();
+    }
+    const std::uint32_t ticket = this->freeTickets.back();
+    this->freeTickets.pop_back();
+    ++this->active;
+    this->requests[ticket] = { .begun = now,
+                               .isActive = true,
+                               .isUnasked = isUnasked,
+                               .isAnswered = isUnasked,
+                               .isLoaded = this->active * 2 > this->learnedLimit };
+    return ticket;
+}
+
+std::optional<std::uint32_t> Admission::begin(TimePoint now)
+{
+    if (this->active + this->inherited >= this->bearable(now))
+        return std::nullopt;
+    this->noteDelivery(now);
+    return this->allot(now, false);
+}
+
+std::uint32_t Admission::beginUnasked(TimePoint now)
+{
+    return this->allot(now, true);
+}
+
+void Admission::onFirstResponse(std::uint32_t ticket, TimePoint now)
+{
+    Request &request = this->requests[ticket];
+    if (request.isAnswered)
+        return;
+    request.isAnswered = true;
+    const Duration latency = now - request.begun;
+    const bool wasKnown = this->latencies.isKnown();
+    if (wasKnown && latency > this->latencies.coldLimit())
+        this->noteColdSign(request, now);
+    else if (wasKnown && latency > this->latencies.slowLimit())
+        this->noteSlow(request, now);
+    else
+        request.isNormal = true;
+    if (request.isNormal)
+        this->slowInRow = this->coldSigns = 0;
+    this->latencies.add(latency);
+}
+
+void Admission::end(std::uint32_t ticket, TimePoint now)
+{
+    Request &request = this->requests[ticket];
+    if (!request.isActive)
+        return;
+    request.isActive = false;
+    --this->active;
+    this->freeTickets.push_back(ticket);
+    if (request.isUnasked || !request.isAnswered)
+        return;
+    ++this->completed;
+    if (request.isNormal)
+        this->noteNormalCompletion(request, now);
+}
+
+void Admission::noteNormalCompletion(const Request &request, TimePoint now)
+{
+    if (request.begun < this->adjustedAt)
+        return;
+    this->lastEvidence = now;
+    // A limit that wasn't used says nothing about a higher one.
+    if (!request.isLoaded || this->isHeldColdByHealth(now))
+        return;
+    if (++this->goodCompletions < std::max(minCompletionsForDoubling, 2 * this->learnedLimit))
+        return;
+    this->goodCompletions = 0;
+    this->learnedLimit = std::min(2 * this->learnedLimit, this->configured.slots);
+}
+
+void Admission::noteSlow(const Request &request, TimePoint now)
+{
+    this->goodCompletions = 0;
+    if (request.begun >= this->adjustedAt && ++this->slowInRow >= slowResponsesForHalving)
+        this->halve(now);
+}
+
+void Admission::noteColdSign(Request &request, TimePoint now)
+{
+    this->goodCompletions = 0;
+    if (request.isColdSign || request.begun < this->adjustedAt)
+        return;
+    request.isColdSign = true;
+    // With few requests in progress there is no second one to wait for.
+    if (++this->coldSigns >= std::min(signsForCold, this->active))
+        this->resetToCold(now);
+}
+
+void Admission::halve(TimePoint now)
+{
+    this->learnedLimit = std::max(1u, this->learnedLimit / 2);
+    this->goodCompletions = this->slowInRow = 0;
+    this->adjustedAt = now;
+}
+
+void Admission::resetToCold(TimePoint now)
+{
+    this->learnedLimit = std::min(this->learnedLimit, this->configured.coldSlots);
+    this->goodCompletions = this->slowInRow = this->coldSigns = 0;
+    this->adjustedAt = now;
+    this->coldSince = now;
+    this->lastEvidence.reset();
+    ++this->resets;
+}
+
+void Admission::noteDelivery(TimePoint now)
+{
+    if (!this->unansweredSince)
+        this->unansweredSince = now;
+}
+
+void Admission::noteServerPacket(TimePoint now)
+{
+    if (this->isSilent(now))
+        this->resetToCold(now);
+    this->unansweredSince.reset();
+}
+
+void Admission::onRestart(TimePoint now)
+{
+    this->doubtedAt.reset();
+    this->inherited = 0;
+    this->resetToCold(now);
+}
+
+void Admission::onLostConnection(TimePoint now)
+{
+    if (!this->doubtedAt) {
+        this->limitBeforeDoubt = this->learnedLimit;
+        this->doubtedAt = now;
+    }
+    this->resetToCold(now);
+}
+
+void Admission::onResponseOn(TimePoint flowOpenedAt, TimePoint now)
+{
+    if (!this->doubtedAt || flowOpenedAt >= *this->doubtedAt)
+        return;
+    // The server still has an older connection, so it reset only the one: load shedding.
+    if (now - *this->doubtedAt <= restartDoubt && this->limitBeforeDoubt / 2 > this->learnedLimit)
+        this->learnedLimit = this->limitBeforeDoubt / 2;
+    this->doubtedAt.reset();
+}
+
+void Admission::onShed(TimePoint now)
+{
+    if (now - this->lastShed < shedInterval && this->lastShed != TimePoint())
+        return;
+    this->lastShed = now;
+    this->halve(now);
+}
+
+bool Admission::onHealth(const ServerHealth &health, TimePoint now)
+{
+    if (!health.reachable)
+        return false;
+    const bool isFirst = !this->startedAt;
+    const bool isRestart = !isFirst && *this->startedAt != health.startedAt;
+    this->startedAt = health.startedAt;
+    const bool isChange = isFirst || health.status != this->status;
+    if (isChange)
+        this->statusSince = now;
+    this->status = health.status;
+    this->isDraining = health.status == ServerStatus::Draining;
+    if (isFirst && health.inProgress > this->active) {
+        this->inherited = health.inProgress - this->active;
+        this->inheritedUntil = now + this->configured.requestDeadline;
+    }
+    this->inherited = std::min(this->inherited, health.inProgress);
+    if (isRestart || (isChange && health.status == ServerStatus::Cold))
+        this->onRestart(now);
+    else if (health.status == ServerStatus::Shedding && now - this->statusSince <= healthTrust)
+        this->onShed(now);
+    return isRestart;
+}
+
+void Admission::onTimer(TimePoint now)
+{
+    if (this->inheritedUntil && now >= *this->inheritedUntil) {
+        this->inherited = 0;
+        this->inheritedUntil.reset();
+    }
+    if (!this->latencies.isKnown())
+        return;
+    const Duration limit = this->latencies.coldLimit();
+    for (Request &request : this->requests) {
+        if (request.isActive && !request.isAnswered && now - request.begun > limit)
+            this->noteColdSign(request, now);
+    }
+}
+
+Duration Admission::evidenceAge(TimePoint now) const
+{
+    return this->lastEvidence ? now - *this->lastEvidence : Duration::max();
+}
+
+std::uint32_t Admission::bearable(TimePoint now) const
+{
+    const Duration lifetime = std::max<Duration>(evidenceLifetime, 4 * this->latencies.latency());
+    if (this->evidenceAge(now) <= lifetime && !this->isHeldColdByHealth(now))
+        return this->learnedLimit;
+    return std::min(this->learnedLimit, this->configured.coldSlots);
+}
+
+bool Admission::isHeldColdByHealth(TimePoint now) const
+{
+    return this->status == ServerStatus::Cold && now - this->statusSince <= healthTrust;
+}
+
+bool Admission::isSilent(TimePoint now) const
+{
+    return this->unansweredSince && now - *this->unansweredSince > silenceLimit;
+}
+
+bool Admission::isCold(TimePoint now) const
+{
+    if (this->isHeldColdByHealth(now))
+        return true;
+    return this->learnedLimit <= this->configured.coldSlots
+           && this->learnedLimit < this->configured.slots && now - this->coldSince < announcedCold;
+}
+
+std::uint16_t Admission::utilisation(std::size_t connections, std::size_t waiting,
+                                     TimePoint now) const
+{
+    if (this->isSilent(now) || this->isDraining)
+        return fullUtilisation;
+    const std::size_t busy = this->active + this->inherited + waiting;
+    const std::size_t share =
+            std::max(busy * fullUtilisation / this->learnedLimit,
+                     connections * fullUtilisation / std::max(1u, this->configured.connections));
+    return std::uint16_t(std::min<std::size_t>(share, fullUtilisation));
+}
+
+} // namespace cactusdeck
--- /dev/null
+++ b/core/agent.cpp
@@ -0,0 +1,386 @@
+#include "core/agent.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+#include "core/agentstate.h"
+#include "core/agentstatus.h"
+#include "core/announcer.h"
+#include "core/callerpath.h"
+#include "core/capacityweight.h"
+#include "core/configspread.h"
+#include "core/holdingsreporter.h"
+#include "core/serverpath.h"
+
+namespace cactusdeck {
+
+namespace {
+
+// An agent that knows of a newer configuration and can't obtain it for this time takes no new
+// flows, because its view of addresses and zones may be wrong.
+constexpr std::chrono::seconds staleLimit{ 3 };
+constexpr std::chrono::milliseconds holdingsInterval{ 500 };
+constexpr std::chrono::seconds expiryInterval{ 1 };
+// Frames name a newer version many times before it has been fetched.
+constexpr std::chrono::milliseconds versionInterval{ 100 };
+
+constexpr std::array phaseNames = { "cold", "serving", "draining" };
+
+AnnouncerOptions announcerOptions(const AgentOptions &options)
+{
+    return { .self = { .id = options.id,
+                       .role = Role::Agent,
+                       .zone = options.zone,
+                       .data = options.data,
+                       .control = options.control,
+                       .incarnation = options.incarnation,
+                       .phase = Phase::Cold,
+                       .group = options.group },
+             .seeds = options.seeds,
+             .seed = options.seed };
+}
+
+ConfigurationSpreadOptions spreadOptions(const AgentOptions &options)
+{
+    return { .id = options.id,
+             .replyTo = options.control,
+             .group = options.group,
+             .seed = options.seed + 1 };
+}
+
+// The caller of a flow that is still opening may be connected to another server, so it gets none.
+void resetBothSides(const Flow &flow, DataSink &sink)
+{
+    if (flow.isClosed() || !flow.isTcp())
+        return;
+    sink.toServer(flow.resetForServer());
+    if (flow.state == FlowState::Opening)
+        return;
+    for (const auto &packet : flow.resetsForCaller())
+        sink.toFabric(packet);
+}
+
+} // namespace
+
+struct Agent::Parts
+{
+    explicit Parts(AgentOptions options)
+        : state(std::move(options))
+        , announcer(announcerOptions(state.options), budget)
+        , spread(spreadOptions(state.options))
+        , reporter(state.options.id)
+    { }
+
+    void applyConfiguration(TimePoint now, Outbox &outbox);
+    void applyZone(bool isOut, TimePoint now, Outbox &outbox);
+    void followVersions(TimePoint now, Outbox &outbox);
+    void flushSpread(Outbox &messages, TimePoint now, Outbox &outbox);
+    void resetAll(TimePoint now, DataSink &sink);
+    void expireFlows(TimePoint now, DataSink &sink, Outbox &outbox);
+    void announceState(TimePoint now, Outbox &outbox);
+    void reportHoldings(TimePoint now, Outbox &outbox);
+    void continueDrain(TimePoint now, DataSink &sink, Outbox &outbox);
+    Phase phase(TimePoint now) const;
+
+    AgentState state;
+    CallerPath callerPath{ state };
+    ServerPath serverPath{ state, callerPath };
+    ControlBudget budget;
+    Announcer announcer;
+    ConfigurationSpread spread;
+    HoldingsReporter reporter;
+    CapacityWeight weight;
+    std::uint64_t membersGeneration = 0;
+    std::uint64_t loggedColdResets = 0;
+    bool mustResetFlows = false; // a sink wasn't at hand when the zone went out
+    bool hasLeft = false;
+    TimePoint startedAt;
+    TimePoint drainDeadline;
+    TimePoint nextHoldings;
+    TimePoint nextExpiry;
+    TimePoint nextVersion;
+};
+
+void Agent::Parts::applyConfiguration(TimePoint now, Outbox &outbox)
+{
+    const ConfigurationPointer &configuration = this->spread.current();
+    const bool isFirst = this->state.configuration == 0;
+    this->state.configuration = configuration->version();
+    this->state.services.adopt(configuration->servicesOf(this->state.options.group));
+    if (!this->state.services.all().empty())
+        this->state.admission.setLimits(this->state.services.limits());
+    // A flow can't have been idle for longer than its contract allows.
+    if (isFirst && this->state.options.serverMayHoldFlows)
+        this->state.probes.open(this->startedAt + this->state.services.longestIdleTimeout());
+    this->announcer.setConfiguration(configuration->version(), now, outbox);
+    addEvent(outbox, Level::Info, "configuration_applied",
+             { { "version", std::to_string(configuration->version()) },
+               { "services", std::to_string(this->state.services.all().size()) } });
+    this->applyZone(configuration->isZoneOut(this->state.options.zone), now, outbox);
+}
+
+void Agent::Parts::applyZone(bool isOut, TimePoint now, Outbox &outbox)
+{
+    if (isOut == this->state.isZoneOut)
+        return;
+    this->state.isZoneOut = isOut;
+    if (isOut)
+        this->mustResetFlows = true;
+    else
+        this->state.admission.onRestart(now);
+    addEvent(outbox, Level::Warning, isOut ? "zone_out" : "zone_in",
+             { { "zone", this->state.options.zone.value },
+               { "flows", std::to_string(this->state.flows.openCount()) } });
+}
+
+// Resets every open flow on both sides and forgets it. The server's connections end as well, so
+// nothing remains to be adopted.
+void Agent::Parts::resetAll(TimePoint now, DataSink &sink)
+{
+    this->state.flows.forEach([&](Flow &flow) {
+        this->state.requests.finish(flow, now);
+        resetBothSides(flow, sink);
+    });
+    this->state.flows.clear();
+    this->state.requests.clear();
+    this->state.probes.clear();
+}
+
+void Agent::Parts::followVersions(TimePoint now, Outbox &outbox)
+{
+    const ConfigurationVersion seen =
+            std::max(this->state.newestSeen, this->announcer.newestConfiguration());
+    if (seen <= this->state.configuration || now < this->nextVersion)
+        return;
+    this->nextVersion = now + versionInterval;
+    const bool isNamedByMonitor = this->announcer.newestConfiguration() == seen;
+    Outbox messages;
+    this->spread.setPeers(this->announcer.monitors());
+    this->spread.onVersionSeen(
+            seen, isNamedByMonitor ? this->announcer.newestConfigurationFrom() : Endpoint{}, now,
+            messages);
+    // A corrupt frame must not be taken for a configuration that exists, so the version counts
+    // only while frames keep naming it.
+    this->state.newestSeen = 0;
+    this->flushSpread(messages, now, outbox);
+}
+
+void Agent::Parts::flushSpread(Outbox &messages, TimePoint now, Outbox &outbox)
+{
+    for (ControlSend &send : messages.control)
+        this->budget.send(ControlPriority::Configuration, send.to, std::move(send.message), now,
+                          outbox);
+    std::move(messages.events.begin(), messages.events.end(), std::back_inserter(outbox.events));
+}
+
+void Agent::Parts::expireFlows(TimePoint now, DataSink &sink, Outbox &outbox)
+{
+    this->nextExpiry = now + expiryInterval;
+    std::size_t idle = 0;
+    this->state.flows.expire(
+            now, [&](ServiceId service) { return this->state.services.idleTimeout(service); },
+            [&](Flow &flow) {
+                this->state.requests.finish(flow, now);
+                idle += flow.isClosed() ? 0 : 1;
+                resetBothSides(flow, sink);
+            });
+    if (idle > 0)
+        addEvent(outbox, Level::Info, "flows_expired", { { "count", std::to_string(idle) } });
+    this->state.flows.forEach([&](Flow &flow) { this->state.requests.onIdle(flow, now); });
+}
+
+Phase Agent::Parts::phase(TimePoint now) const
+{
+    if (this->state.isDraining || this->state.admission.isServerDraining())
+        return Phase::Draining;
+    return this->state.admission.isCold(now) ? Phase::Cold : Phase::Serving;
+}
+
+void Agent::Parts::announceState(TimePoint now, Outbox &outbox)
+{
+    const Phase current = this->phase(now);
+    if (current != this->announcer.self().phase) {
+        this->announcer.setPhase(current, now, outbox);
+        addEvent(outbox, Level::Info, "phase_changed",
+                 { { "phase", phaseNames[std::size_t(current)] } });
+    }
+    const Admission &admission = this->state.admission;
+    if (admission.coldResets() != this->loggedColdResets) {
+        this->loggedColdResets = admission.coldResets();
+        addEvent(outbox, Level::Warning, "server_cold",
+                 { { "bearable", std::to_string(admission.bearable(now)) } });
+    }
+    if (this->state.configuration != 0) {
+        if (const auto changed =
+                    this->weight.update(admission.limits().slots, admission.baseline(), now))
+            this->announcer.setWeight(*changed, now, outbox);
+    }
+}
+
+void Agent::Parts::reportHoldings(TimePoint now, Outbox &outbox)
+{
+    this->nextHoldings = now + holdingsInterval;
+    const bool isNewList = this->membersGeneration != this->announcer.membersGeneration();
+    this->membersGeneration = this->announcer.membersGeneration();
+    for (const auto &[service, contract] : this->state.services.all()) {
+        if (isNewList && this->announcer.knowsMembers(service))
+            this->reporter.setMembers(service, this->announcer.members(service));
+        if (auto report = this->reporter.update(service, this->state.flows))
+            this->announcer.report(std::move(*report), now, outbox);
+    }
+}
+
+void Agent::Parts::continueDrain(TimePoint now, DataSink &sink, Outbox &outbox)
+{
+    if (!this->state.isDraining || this->hasLeft)
+        return;
+    const bool isEmpty = this->state.flows.openCount() == 0;
+    // A request in progress is not interrupted unless it is overdue as well.
+    const bool isOverdue =
+            now >= this->drainDeadline
+            && (this->state.admission.inProgress() == 0
+                || now - this->drainDeadline >= this->state.admission.limits().requestDeadline);
+    if (!isEmpty && !isOverdue)
+        return;
+    const std::size_t remaining = this->state.flows.openCount();
+    this->resetAll(now, sink);
+    this->hasLeft = true;
+    this->announcer.leave(now, outbox);
+    addEvent(outbox, Level::Info, "drained", { { "remaining", std::to_string(remaining) } });
+}
+
+Agent::Agent(AgentOptions options)
+    : parts(std::make_unique<Parts>(std::move(options)))
+{ }
+
+Agent::~Agent() = default;
+Agent::Agent(Agent &&) noexcept = default;
+Agent &Agent::operator=(Agent &&) noexcept = default;
+
+void Agent::start(TimePoint now, Outbox &outbox)
+{
+    Parts &p = *this->parts;
+    p.startedAt = now;
+    p.state.admission.start(now);
+    p.spread.setPeers(p.state.options.seeds);
+    p.announcer.start(now, outbox);
+    addEvent(outbox, Level::Info, "agent_started",
+             { { "id", p.state.options.id.value },
+               { "incarnation", std::to_string(p.state.incarnation) } });
+}
+
+void Agent::onFrame(std::span<const std::uint8_t> datagram, TimePoint now, DataSink &sink,
+                    Outbox &outbox)
+{
+    Parts &p = *this->parts;
+    p.callerPath.onFrame(datagram, now, sink, outbox);
+    if (p.state.newestSeen > p.state.configuration)
+        p.followVersions(now, outbox);
+}
+
+void Agent::onServerPacket(std::span<const std::uint8_t> packet, TimePoint now, DataSink &sink,
+                           Outbox &outbox)
+{
+    this->parts->serverPath.onPacket(packet, now, sink, outbox);
+}
+
+void Agent::onServerHealth(const ServerHealth &health, TimePoint now, Outbox &outbox)
+{
+    Parts &p = *this->parts;
+    if (p.state.admission.onHealth(health, now))
+        addEvent(outbox, Level::Warning, "server_restarted",
+                 { { "source", "health" }, { "startedAt", std::to_string(health.startedAt) } });
+    p.announceState(now, outbox);
+}
+
+void Agent::onControl(const ControlMessage &message, TimePoint now, Outbox &outbox)
+{
+    Parts &p = *this->parts;
+    Outbox messages;
+    bool isChanged = false;
+    if (const auto *notice = std::get_if<ConfigurationNotice>(&message))
+        p.spread.onNotice(*notice, now, messages);
+    else if (const auto *request = std::get_if<ConfigurationRequest>(&message))
+        p.spread.onRequest(*request, now, messages);
+    else if (const auto *delta = std::get_if<ConfigurationDelta>(&message))
+        isChanged = p.spread.onDelta(*delta, now, messages);
+    else
+        p.announcer.onControl(message, now, outbox);
+    p.flushSpread(messages, now, outbox);
+    if (isChanged)
+        p.applyConfiguration(now, outbox);
+    p.state.incarnation = p.announcer.self().incarnation;
+    p.followVersions(now, outbox);
+}
+
+void Agent::onTimer(TimePoint now, DataSink &sink, Outbox &outbox)
+{
+    Parts &p = *this->parts;
+    Outbox messages;
+    p.spread.onTimer(now, messages);
+    p.flushSpread(messages, now, outbox);
+    p.state.isStale = p.spread.staleSince(now) > staleLimit;
+    if (p.mustResetFlows) {
+        p.mustResetFlows = false;
+        p.resetAll(now, sink);
+    }
+    p.state.admission.onTimer(now);
+    p.state.requests.onTimer(now);
+    p.state.probes.onTimer(
+            now, [&](std::span<const std::uint8_t> probe) { sink.toServer(probe); },
+            [&](const FlowKey &key) {
+                p.callerPath.onNotAdopted(key, "no_answer", now, sink, outbox);
+            });
+    if (now >= p.nextExpiry)
+        p.expireFlows(now, sink, outbox);
+    p.state.requests.dispatch(now, sink);
+    p.announceState(now, outbox);
+    if (now >= p.nextHoldings)
+        p.reportHoldings(now, outbox);
+    p.continueDrain(now, sink, outbox);
+    p.announcer.onTimer(now, outbox);
+    p.state.incarnation = p.announcer.self().incarnation;
+}
+
+void Agent::stop(TimePoint now, Outbox &outbox)
+{
+    Parts &p = *this->parts;
+    if (p.state.isDraining)
+        return;
+    p.state.isDraining = true;
+    p.drainDeadline = now + p.state.services.drainDeadline();
+    addEvent(outbox, Level::Info, "drain_started",
+             { { "flows", std::to_string(p.state.flows.openCount()) } });
+    p.announceState(now, outbox);
+}
+
+bool Agent::isStopped(TimePoint) const
+{
+    return this->parts->hasLeft && this->parts->announcer.hasLeft();
+}
+
+ConfigurationVersion Agent::configurationVersion() const
+{
+    return this->parts->state.configuration;
+}
+
+nlohmann::json Agent::status(TimePoint now) const
+{
+    const Parts &p = *this->parts;
+    nlohmann::json json = statusOf(p.state, now);
+    json["id"] = p.state.options.id;
+    json["role"] = "agent";
+    json["zone"] = p.state.options.zone;
+    json["group"] = p.state.options.group;
+    json["phase"] = phaseNames[std::size_t(p.phase(now))];
+    json["weight"] = p.weight.value();
+    json["isolated"] = p.announcer.isIsolated(now);
+    json["controlBytes"] = p.budget.sentBytes();
+    json["holdings"] = nlohmann::json::object();
+    for (const auto &[service, contract] : p.state.services.all())
+        json["holdings"][contract.service.value] = p.reporter.reportedBuckets(service);
+    return json;
+}
+
+} // namespace cactusdeck
--- /dev/null
+++ b/core/flowtable.cpp
@@ -0,0 +1,294 @@
+#include "core/flowtable.h"
+
+namespace cactusdeck {
+
+namespace {
+
+// The largest window that TCP can announce (RFC 7323); a segment further ahead is not plausible.
+constexpr std::uint32_t maxWindow = 1u << 30;
+// Acknowledgements may lag behind the highest one by a window (RFC 5961, section 5.2). The bound
+// also keeps comparisons modulo 2^32 valid on flows of any length.
+constexpr std::uint32_t acknowledgementLag = 1u << 20;
+
+} // namespace
+
+void SequenceSpace::start(std::uint32_t initialSequence)
+{
+    this->base = this->next = this->payloadNext = this->acked = initialSequence + 1;
+    this->isKnown = true;
+    this->hasFin = false;
+}
+
+void SequenceSpace::startInside(std::uint32_t nextSequence, std::uint32_t acknowledged)
+{
+    this->base = acknowledged - acknowledgementLag;
+    this->next = this->payloadNext = nextSequence;
+    this->acked = acknowledged;
+    this->isKnown = true;
+    this->hasFin = false;
+}
+
+void SequenceSpace::extend(const PacketView &view)
+{
+    // A bare acknowledgement may come after payload that was held back, so it proves nothing.
+    if (view.sequenceLength() == 0)
+        return;
+    const std::uint32_t end = view.sequence + view.sequenceLength();
+    if (isBefore(this->next, end) && end - this->next <= maxWindow)
+        this->next = end;
+    const std::uint32_t payloadEnd = view.sequence + std::uint32_t(view.payload.size());
+    if (!view.payload.empty() && isBefore(this->payloadNext, payloadEnd)
+        && payloadEnd - this->payloadNext <= maxWindow)
+        this->payloadNext = payloadEnd;
+    if (view.has(tcpflag::fin)) {
+        this->hasFin = true;
+        this->finEnd = end;
+    }
+}
+
+void SequenceSpace::acknowledge(std::uint32_t acknowledgement)
+{
+    if (!isBefore(this->acked, acknowledgement))
+        return;
+    this->acked = acknowledgement;
+    if (acknowledgement - this->base > acknowledgementLag)
+        this->base = acknowledgement - acknowledgementLag;
+}
+
+bool Flow::acceptsFromCaller(const PacketView &view) const
+{
+    if (!this->isTcp())
+        return true;
+    if (view.has(tcpflag::ack))
+        return this->server.covers(view.acknowledgement);
+    // A reset for an unknown connection has no acknowledgement number; its sequence number is the
+    // acknowledgement number of a segment of this server.
+    return view.has(tcpflag::rst) && !isBefore(view.sequence, this->caller.acked)
+           && !isBefore(this->caller.next, view.sequence);
+}
+
+bool Flow::acceptsFromServer(const PacketView &view) const
+{
+    if (!this->isTcp())
+        return true;
+    if (view.has(tcpflag::syn) && !this->isAdopted)
+        return view.has(tcpflag::ack) && view.acknowledgement == this->callerIsn + 1
+               && (!this->server.isKnown || view.sequence == this->serverIsn);
+    if (view.has(tcpflag::ack))
+        return this->caller.covers(view.acknowledgement)
+               && (this->server.isKnown || view.has(tcpflag::rst));
+    return view.has(tcpflag::rst) && this->server.covers(view.sequence);
+}
+
+bool Flow::isClaimedElsewhere(const PacketView &view) const
+{
+    return this->state == FlowState::Opening && this->isTcp() && view.has(tcpflag::ack)
+           && !isBefore(view.sequence, this->callerIsn + 1)
+           && view.sequence - (this->callerIsn + 1) <= acknowledgementLag;
+}
+
+bool Flow::isForgottenByServer(const PacketView &view) const
+{
+    return this->isTcp() && this->state != FlowState::Opening && !this->isClosed()
+           && view.has(tcpflag::syn) && view.has(tcpflag::ack)
+           && (this->isAdopted || view.sequence != this->serverIsn);
+}
+
+std::vector<std::uint8_t> Flow::resetForServer() const
+{
+    PacketOptions options{ .key = this->key,
+                           .sequence = this->caller.acked,
+                           .flags = tcpflag::rst };
+    if (this->server.isKnown) {
+        options.acknowledgement = this->server.next;
+        options.flags |= tcpflag::ack;
+    }
+    return buildPacket(options);
+}
+
+std::vector<std::vector<std::uint8_t>> Flow::resetsForCaller() const
+{
+    PacketOptions options{ .key = this->key.reversed(),
+                           .sequence = this->server.acked,
+                           .acknowledgement = this->caller.next,
+                           .flags = tcpflag::rst | tcpflag::ack };
+    std::vector<std::vector<std::uint8_t>> packets{ buildPacket(options) };
+    if (this->server.next != this->server.acked) {
+        options.sequence = this->server.next;
+        packets.push_back(buildPacket(options));
+    }
+    return packets;
+}
+
+Flow *FlowTable::find(const FlowKey &key)
+{
+    const auto found = this->flows.find(key);
+    return found == this->flows.end() ? nullptr : &found->second;
+}
+
+Flow &FlowTable::insert(const FlowKey &key, ServiceId service, TimePoint now)
+{
+    this->erase(key);
+    Flow &flow = this->flows[key];
+    flow.key = key;
+    flow.service = service;
+    flow.bucket = bucketOf(hashOf(key));
+    flow.openedAt = now;
+    flow.lastActive = now;
+    this->count(flow, 1);
+    return flow;
+}
+
+Flow &FlowTable::openTcp(const FlowKey &key, ServiceId service, std::uint32_t callerIsn,
+                         TimePoint now)
+{
+    Flow &flow = this->insert(key, service, now);
+    flow.callerIsn = callerIsn;
+    flow.caller.start(callerIsn);
+    return flow;
+}
+
+Flow &FlowTable::openUdp(const FlowKey &key, ServiceId service, TimePoint now)
+{
+    Flow &flow = this->insert(key, service, now);
+    flow.state = FlowState::Open;
+    return flow;
+}
+
+Flow &FlowTable::adopt(const PacketView &packet, const PacketView &probeAnswer, ServiceId service,
+                       TimePoint now)
+{
+    Flow &flow = this->insert(packet.key, service, now);
+    flow.state = FlowState::Open;
+    flow.isAdopted = true;
+    flow.isFresh = false;
+    flow.caller.startInside(probeAnswer.acknowledgement, probeAnswer.acknowledgement);
+    flow.server.startInside(probeAnswer.sequence, packet.acknowledgement);
+    return flow;
+}
+
+void FlowTable::erase(const FlowKey &key)
+{
+    const auto found = this->flows.find(key);
+    if (found == this->flows.end())
+        return;
+    if (!found->second.isClosed())
+        this->count(found->second, -1);
+    this->flows.erase(found);
+}
+
+void FlowTable::count(const Flow &flow, int change)
+{
+    this->openFlows += std::size_t(change);
+    this->buckets[flow.service][flow.bucket] += std::uint32_t(change);
+}
+
+std::uint32_t FlowTable::countIn(ServiceId service, Bucket bucket) const
+{
+    const auto found = this->buckets.find(service);
+    return found == this->buckets.end() ? 0 : found->second[bucket];
+}
+
+void FlowTable::noteCaller(Flow &flow, const PacketView &view, TimePoint now, bool isDelivered)
+{
+    if (flow.isClosed())
+        return;
+    flow.lastActive = now;
+    if (!flow.isTcp())
+        return;
+    if (view.has(tcpflag::ack)) {
+        flow.server.acknowledge(view.acknowledgement);
+        if (flow.state == FlowState::Opening)
+            flow.state = FlowState::Open;
+    }
+    if (!isDelivered)
+        return;
+    if (view.has(tcpflag::rst)) {
+        // The server answers any other reset with a challenge ACK and keeps the connection.
+        if (view.sequence == flow.caller.acked || view.sequence == flow.caller.next)
+            this->close(flow, FlowState::Reset, now);
+        return;
+    }
+    flow.caller.extend(view);
+    this->updateClosing(flow, now);
+}
+
+void FlowTable::noteServer(Flow &flow, const PacketView &view, TimePoint now)
+{
+    if (flow.isClosed())
+        return;
+    flow.lastActive = now;
+    if (!flow.isTcp())
+        return;
+    if (view.has(tcpflag::rst)) {
+        this->close(flow, FlowState::Reset, now);
+        return;
+    }
+    if (!flow.server.isKnown) {
+        flow.serverIsn = view.sequence;
+        flow.server.start(view.sequence);
+    } else {
+        flow.server.extend(view);
+    }
+    flow.caller.acknowledge(view.acknowledgement);
+    this->updateClosing(flow, now);
+}
+
+void FlowTable::updateClosing(Flow &flow, TimePoint now)
+{
+    if (flow.caller.isFinAcked() && flow.server.isFinAcked())
+        this->close(flow, FlowState::TimeWait, now);
+    else if (flow.caller.hasFin || flow.server.hasFin)
+        flow.state = FlowState::Closing;
+}
+
+void FlowTable::close(Flow &flow, FlowState state, TimePoint now)
+{
+    if (!flow.isClosed())
+        this->count(flow, -1);
+    flow.state = state;
+    flow.lastActive = now;
+}
+
+Duration FlowTable::timeoutOf(const Flow &flow,
+                              const std::function<Duration(ServiceId)> &idleTimeout) const
+{
+    if (flow.isClosed())
+        return this->flows.size() - this->openFlows > maxClosedFlows ? Duration::zero() : timeWait;
+    if (flow.state == FlowState::Opening)
+        return openingTimeout;
+    if (flow.caller.hasFin && flow.server.hasFin)
+        return closingTimeout;
+    return idleTimeout(flow.service);
+}
+
+void FlowTable::expire(TimePoint now, const std::function<Duration(ServiceId)> &idleTimeout,
+                       const std::function<void(Flow &)> &onExpired)
+{
+    for (auto entry = this->flows.begin(); entry != this->flows.end();) {
+        Flow &flow = entry->second;
+        if (now - flow.lastActive <= this->timeoutOf(flow, idleTimeout)) {
+            ++entry;
+            continue;
+        }
+        onExpired(flow);
+        if (!flow.isClosed())
+            this->count(flow, -1);
+        entry = this->flows.erase(entry);
+    }
+}
+
+void FlowTable::forEach(const std::function<void(Flow &)> &visit)
+{
+    for (auto &entry : this->flows)
+        visit(entry.second);
+}
+
+void FlowTable::clear()
+{
+    this->flows.clear();
+    this->buckets.clear();
+    this->openFlows = 0;
+}
+
+} // namespace cactusdeck
--- /dev/null
+++ b/core/serverpath.cpp
@@ -0,0 +1,119 @@
+#include "core/serverpath.h"
+
+namespace cactusdeck {
+
+namespace {
+
+// Largest TCP window (RFC 7323).
+constexpr std::uint32_t maxWindow = 1u << 30;
+
+} // namespace
+
+void ServerPath::onPacket(std::span<const std::uint8_t> packet, TimePoint now, DataSink &sink,
+                          Outbox &outbox)
+{
+    const std::optional<PacketView> view = parsePacket(packet);
+    if (!view) {
+        ++this->state.counters.malformed;
+        return;
+    }
+    if (this->state.isZoneOut) {
+        ++this->state.counters.droppedZoneOut;
+        return;
+    }
+    this->state.admission.noteServerPacket(now);
+    if (this->onProbed(*view, now, sink, outbox))
+        return;
+    Flow *flow = this->state.flows.find(view->key.reversed());
+    if (flow == nullptr) {
+        this->onUnknownFlow(*view, now, sink);
+    } else if (flow->isForgottenByServer(*view)) {
+        this->onForgotten(*view, *flow, now, sink, outbox);
+    } else if (!flow->acceptsFromServer(*view)) {
+        this->onRefused(*view, *flow, now, sink);
+    } else {
+        this->judgeReset(*view, *flow, now);
+        this->state.requests.onServer(*flow, *view, now);
+        ++this->state.counters.toFabric;
+        sink.toFabric(view->bytes);
+    }
+    this->state.requests.dispatch(now, sink);
+}
+
+bool ServerPath::onProbed(const PacketView &view, TimePoint now, DataSink &sink, Outbox &outbox)
+{
+    switch (this->state.probes.size() == 0 ? ProbeResult::Unrelated
+                                           : this->state.probes.judge(view)) {
+    case ProbeResult::Unrelated:
+        return false;
+    case ProbeResult::Present:
+        this->callerPath.onAdopted(view, now, sink, outbox);
+        return view.sequenceLength() == 0;
+    case ProbeResult::Absent:
+        this->callerPath.onNotAdopted(view.key.reversed(), "not_on_server", now, sink, outbox);
+        return true;
+    }
+    return false;
+}
+
+void ServerPath::onUnknownFlow(const PacketView &view, TimePoint now, DataSink &sink)
+{
+    ++this->state.counters.strayFromServer;
+    if (view.key.protocol != Protocol::Tcp || view.has(tcpflag::rst) || !view.has(tcpflag::ack))
+        return;
+    if (!this->state.probes.isOpen(now)) {
+        // No caller can use this connection, since its packets would be refused.
+        sink.toServer(buildResetFor(view));
+        return;
+    }
+    // The connection may be from before the agent's restart, with a response under way. If the
+    // caller still has it, its answer to the keep-alive starts the adoption; a caller with another
+    // connection on the same port gets no byte of the response.
+    if (!view.has(tcpflag::syn))
+        sink.toFabric(buildKeepAlive(view.key, view.sequence, view.acknowledgement));
+}
+
+void ServerPath::onRefused(const PacketView &view, Flow &flow, TimePoint now, DataSink &sink)
+{
+    ++this->state.counters.lateFromServer;
+    if (flow.state != FlowState::Opening || flow.server.isKnown || !flow.isTcp()
+        || !view.has(tcpflag::ack) || view.has(tcpflag::rst))
+        return;
+    // The server still has an earlier connection with this key and answers the new SYN for it.
+    if (view.acknowledgement - flow.callerIsn - 1 <= maxWindow) {
+        // It has progressed from this very SYN: a delayed duplicate of an established flow that the
+        // agent doesn't know since its restart. Its next packet starts the adoption.
+        this->state.requests.finish(flow, now);
+        this->state.flows.erase(flow.key);
+        return;
+    }
+    // As the caller would do (RFC 9293, section 3.5.1). The repeated SYN then finds no obstacle.
+    sink.toServer(buildResetFor(view));
+}
+
+void ServerPath::onForgotten(const PacketView &view, Flow &flow, TimePoint now, DataSink &sink,
+                             Outbox &outbox)
+{
+    // The server took a SYN for an established flow as a new one, so it has restarted. The new
+    // connection wasn't admitted: it is reset, and the caller's next SYN is a new flow.
+    this->state.admission.onRestart(now);
+    sink.toServer(buildResetFor(view));
+    this->state.requests.finish(flow, now);
+    this->state.flows.close(flow, FlowState::Reset, now);
+    addEvent(outbox, Level::Warning, "server_restarted", { { "flow", toString(flow.key) } });
+}
+
+void ServerPath::judgeReset(const PacketView &view, const Flow &flow, TimePoint now)
+{
+    if (!view.has(tcpflag::rst) || !flow.isTcp() || flow.isClosed()
+        || flow.state == FlowState::Opening)
+        return;
+    // A reset without acknowledgement number comes from a server that doesn't have the connection
+    // (RFC 9293, section 3.5.2).
+    if (!view.has(tcpflag::ack))
+        this->state.admission.onLostConnection(now);
+    else if (flow.ticket != noTicket && !flow.isResponding)
+        this->state.admission.onShed(now);
+}
+
+} // namespace cactusdeck
