--- a/programs/cactusdeck-standin.cpp
+++ b/programs/cactusdeck-standin.cpp
@@ -49,21 +49,20 @@
 using namespace cactusdeck;
 using Arguments = std::map<std::string, docopt::value>;
 
-Result<Endpoint> endpointOf(const std::string &text)
+Endpoint endpointOf(const std::string &text)
 {
     Endpoint endpoint;
     if (!parseEndpoint(text, endpoint))
-        return fail(ErrorKind::InvalidArgument, text + ": expected address:port");
+        throw std::invalid_argument(text + ": expected address:port");
     return endpoint;
 }
 
-Result<std::vector<Endpoint>> endpointsOf(const std::vector<std::string> &texts)
+std::vector<Endpoint> endpointsOf(const std::vector<std::string> &texts)
 {
     std::vector<Endpoint> endpoints;
-    for (const std::string &text : texts) {
-        BOOST_LEAF_AUTO(endpoint, endpointOf(text));
-        endpoints.push_back(endpoint);
-    }
+    endpoints.reserve(texts.size());
+    for (const std::string &text : texts)
+        endpoints.push_back(endpointOf(text));
     return endpoints;
 }
 
@@ -88,9 +87,9 @@
 
 Result<int> serve(const Arguments &arguments)
 {
-    BOOST_LEAF_AUTO(data, endpointOf(arguments.at("--data").asString()));
-    BOOST_LEAF_AUTO(health, endpointOf(arguments.at("--health").asString()));
-    BOOST_LEAF_AUTO(addresses, endpointsOf(splitAtCommas(arguments.at("--address").asString())));
+    const auto data = endpointOf(arguments.at("--data").asString());
+    const auto health = endpointOf(arguments.at("--health").asString());
+    const auto addresses = endpointsOf(splitAtCommas(arguments.at("--address").asString()));
     const auto count = [&](const char *name) {
         return std::size_t(std::stoull(arguments.at(name).asString()));
     };
@@ -116,7 +115,7 @@
 
 Result<int> listen(const Arguments &arguments)
 {
-    BOOST_LEAF_AUTO(endpoint, endpointOf(arguments.at("--listen").asString()));
+    const auto endpoint = endpointOf(arguments.at("--listen").asString());
     if (arguments.at("store").asBool())
         BOOST_LEAF_CHECK(runStore(endpoint));
     else
@@ -126,7 +125,7 @@
 
 Result<int> ask(const Arguments &arguments)
 {
-    BOOST_LEAF_AUTO(endpoints, endpointsOf(arguments.at("EP").asStringList()));
+    const auto endpoints = endpointsOf(arguments.at("EP").asStringList());
     if (arguments.at("last-packet").asBool()) {
         BOOST_LEAF_CHECK(runLastPacket(endpoints, millisecondsOf(arguments, "--since").count()));
     } else if (arguments.at("wait").asBool()) {
