--- a/core/gossip.cpp
+++ b/core/gossip.cpp
@@ -122,9 +122,8 @@
             continue;
         const bool own = id == this->membership.self().id;
         this->records[id] = own ? 0 : copiesSent;
-        if (!isGone(*record))
-            continue;
-        for (const auto &key : this->holdings.drop(id))
+        const auto before = isGone(*record) ? UINT32_MAX : record->incarnation;
+        for (const auto &key : this->holdings.drop(id, before))
             this->reports.erase(key);
     }
 }
@@ -176,7 +175,8 @@
 bool GossipSpread::mergeReport(const HoldingsReport &report)
 {
     const NodeRecord *agent = this->membership.find(report.agent);
-    return agent != nullptr && !isGone(*agent) && this->holdings.merge(report);
+    return agent != nullptr && !isGone(*agent) && report.incarnation >= agent->incarnation
+           && this->holdings.merge(report);
 }
 
 void GossipSpread::push(TimePoint now, Outbox &outbox)
--- a/core/gossip.h
+++ b/core/gossip.h
@@ -60,6 +60,8 @@
     void pushNow(TimePoint now, Outbox &outbox);
 
     // A report from an agent itself; ignored if older than the known one or from an unknown agent.
+    // Reports of an earlier incarnation than the agent's record are dropped, and the owner's index
+    // has to do the same.
     void report(const HoldingsReport &report);
     // Reports learned since the last call.
     std::vector<HoldingsReport> takeHoldings() { return this->holdings.takeLearned(); }
--- a/core/reporttable.cpp
+++ b/core/reporttable.cpp
@@ -29,10 +29,12 @@
     return true;
 }
 
-std::vector<ReportTable::Key> ReportTable::drop(const NodeId &agent)
+std::vector<ReportTable::Key> ReportTable::drop(const NodeId &agent, Incarnation before)
 {
     std::vector<Key> dropped;
     for (const HoldingsReport *report : this->reportsOf(agent)) {
+        if (report->incarnation >= before)
+            continue;
         this->cellDigests[cellOf(agent)] ^= reportDigest(*report);
         dropped.emplace_back(agent, report->service);
     }
--- a/core/reporttable.h
+++ b/core/reporttable.h
@@ -15,7 +15,7 @@
 //     ReportTable table;
 //     if (table.merge(report))       // newer than the known one
 //         ...
-//     table.drop(agent);             // the agent is gone
+//     table.drop(agent, record.incarnation); // the agent restarted, or refuted and reports again
 
 namespace cactusdeck {
 
@@ -29,8 +29,8 @@
 
     // Returns false if the report is not newer, by (incarnation, sequence).
     bool merge(const HoldingsReport &report);
-    // Returns the keys that were removed.
-    std::vector<Key> drop(const NodeId &agent);
+    // Removes the agent's reports of runs before the incarnation. Returns their keys.
+    std::vector<Key> drop(const NodeId &agent, Incarnation before);
 
     const HoldingsReport *find(const Key &key) const;
     std::vector<const HoldingsReport *> reportsOf(const NodeId &agent) const;
