--- a/core/contract.cpp
+++ b/core/contract.cpp
@@ -2,224 +2,67 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validator.hpp>
 #include <xxhash.h>
 
+#include "core/jsonschema.h"
+
 namespace cactusdeck {
 
 namespace {
 
 using nlohmann::json;
 
-// The schema as text for messages, and prepared for validation.
-struct ContractSchema
-{
-    json document = json::parse(contractSchemaText);
-    valijson::Schema schema;
-
-    ContractSchema()
-    {
-        valijson::SchemaParser parser;
-        parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(this->document),
-                              this->schema);
-    }
-};
-
-const ContractSchema &contractSchema()
+const JsonSchema &contractSchema()
 {
-    static const ContractSchema schema;
+    static const JsonSchema schema(contractSchemaText);
     return schema;
 }
 
-// Collects all faults of one file, so that its author can correct them in one go.
-class Faults
-{
-public:
-    explicit Faults(std::string_view file)
-        : file(file)
-    { }
-
-    bool isEmpty() const { return this->text.empty(); }
-    void add(const std::string &path, const std::string &fault)
-    {
-        if (!this->text.empty())
-            this->text += '\n';
-        this->text += this->file + ": " + (path.empty() ? "/" : path) + ": " + fault;
-    }
-    leaf::error_id error() const { return fail(ErrorKind::InvalidContract, this->text); }
-
-private:
-    std::string file;
-    std::string text;
-};
-
-std::string shortText(const json &value)
-{
-    constexpr std::size_t limit = 100; // characters
-    std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
-    if (text.size() > limit)
-        text = text.substr(0, limit) + "...";
-    return text;
-}
-
-// What the schema says about the value at a path; array indexes lead to the schema of the items.
-std::string expectedAt(const json::json_pointer &path)
-{
-    const json *node = &contractSchema().document;
-    json::json_pointer rest = path;
-    std::vector<std::string> keys;
-    for (; !rest.empty(); rest.pop_back())
-        keys.push_back(rest.back());
-    for (auto key = keys.rbegin(); key != keys.rend(); ++key) {
-        const auto next =
-                node->contains("items") ? node->find("items") : node->at("properties").find(*key);
-        if (next == node->end() || !next->is_object())
-            break;
-        node = &*next;
-    }
-    return node->value("description", "another value");
-}
-
-// valijson writes contexts as "<root>", "[\"name\"]", "[0]".
-json::json_pointer pointerOf(const std::vector<std::string> &context)
-{
-    json::json_pointer pointer;
-    for (const std::string &step : context) {
-        if (step.size() < 2 || step.front() != '[')
-            continue;
-        std::string key = step.substr(1, step.size() - 2);
-        if (key.size() >= 2 && key.front() == '"')
-            key = key.substr(1, key.size() - 2);
-        pointer.push_back(key);
-    }
-    return pointer;
-}
-
-void checkKeys(const json &value, Faults &faults)
-{
-    const json &schema = contractSchema().document;
-    for (const auto &item : value.items()) {
-        if (!schema["properties"].contains(item.key()))
-            faults.add("/" + item.key(),
-                       "got " + shortText(item.value()) + ", expected no such key; it is unknown");
-    }
-    for (const json &key : schema["required"]) {
-        if (!value.contains(key.get_ref<const std::string &>())) {
-            const std::string path = "/" + key.get<std::string>();
-            faults.add(path, "missing, expected " + expectedAt(json::json_pointer(path)));
-        }
-    }
-}
-
-void checkSchema(const json &value, Faults &faults)
-{
-    if (!value.is_object()) {
-        faults.add("",
-                   "got " + shortText(value) + ", expected " + expectedAt(json::json_pointer()));
-        return;
-    }
-    checkKeys(value, faults);
-    valijson::Validator validator(valijson::Validator::kStrongTypes);
-    valijson::ValidationResults results;
-    const valijson::adapters::NlohmannJsonAdapter adapter(value);
-    if (validator.validate(contractSchema().schema, adapter, &results))
-        return;
-    // Each fault is reported again for the objects around it; only the innermost path counts.
-    std::set<std::string> paths;
-    for (const auto &result : results)
-        paths.insert(pointerOf(result.context).to_string());
-    for (auto path = paths.begin(); path != paths.end(); ++path) {
-        const auto next = std::next(path);
-        const bool isOuter = next != paths.end() && next->starts_with(*path + "/");
-        if (path->empty() || isOuter)
-            continue;
-        const json::json_pointer pointer(*path);
-        faults.add(*path,
-                   "got " + shortText(value.at(pointer)) + ", expected " + expectedAt(pointer));
-    }
-    if (faults.isEmpty())
-        faults.add("", "doesn't match the schema of service contracts");
-}
-
-void readAddresses(const json &value, ServiceContract &contract, Faults &faults)
+void readAddresses(const json &value, ServiceContract &contract, JsonFaults &faults)
 {
     for (std::size_t i = 0; i < value.size(); ++i) {
         const std::string path = "/addresses/" + std::to_string(i);
         ServiceAddress address;
-        if (!parseServiceAddress(value[i].get_ref<const std::string &>(), address)) {
-            faults.add(path, "got " + shortText(value[i]) + ", expected "
-                                     + expectedAt(json::json_pointer(path)));
-        } else if (std::count(contract.addresses.begin(), contract.addresses.end(), address) > 0) {
-            faults.add(path, "got " + shortText(value[i]) + " again, expected different addresses");
-        } else {
+        if (!parseServiceAddress(value[i].get_ref<const std::string &>(), address))
+            faults.add(path, value[i], contractSchema().expectedAt(json::json_pointer(path)));
+        else if (std::count(contract.addresses.begin(), contract.addresses.end(), address) > 0)
+            faults.add(path, value[i], "each address once");
+        else
             contract.addresses.push_back(address);
-        }
     }
     std::sort(contract.addresses.begin(), contract.addresses.end());
 }
 
-void readGroups(const json &value, ServiceContract &contract, Faults &faults)
+void readGroups(const json &value, ServiceContract &contract, JsonFaults &faults)
 {
     for (std::size_t i = 0; i < value.size(); ++i) {
         const GroupName group = value[i].get<GroupName>();
         if (std::count(contract.groups.begin(), contract.groups.end(), group) > 0)
-            faults.add("/groups/" + std::to_string(i),
-                       "got " + shortText(value[i]) + " again, expected different groups");
+            faults.add("/groups/" + std::to_string(i), value[i], "each group once");
         contract.groups.push_back(group);
     }
     std::sort(contract.groups.begin(), contract.groups.end());
 }
 
-void checkMeaning(const ServiceContract &contract, Faults &faults)
+void checkMeaning(const ServiceContract &contract, JsonFaults &faults)
 {
-    const auto slots = std::to_string(contract.slots);
+    const std::string slots = std::to_string(contract.slots);
     if (contract.coldSlots > contract.slots)
-        faults.add("/coldSlots", "got " + std::to_string(contract.coldSlots)
-                                         + ", expected at most slots, which is " + slots);
+        faults.add("/coldSlots", contract.coldSlots, "at most slots, which is " + slots);
     if (contract.connections < contract.slots)
-        faults.add("/connections", "got " + std::to_string(contract.connections)
-                                           + ", expected at least slots, which is " + slots);
+        faults.add("/connections", contract.connections, "at least slots, which is " + slots);
     const bool hasUdp = std::any_of(
             contract.addresses.begin(), contract.addresses.end(),
             [](const ServiceAddress &address) { return address.protocol == Protocol::Udp; });
     if (hasUdp && !contract.idempotent)
         faults.add(
-                "/idempotent",
-                "got false, expected true for a service with UDP addresses, because a duplicated "
-                "UDP request can't be told from a new one");
-}
-
-// Parses JSON with comments; a key that occurs twice in an object is a fault, since the library
-// would silently take the last one.
-json parseText(std::string_view text, Faults &faults)
-{
-    std::vector<std::set<std::string>> keys;
-    const auto callback = [&](int, json::parse_event_t event, json &value) {
-        if (event == json::parse_event_t::object_start)
-            keys.emplace_back();
-        else if (event == json::parse_event_t::object_end)
-            keys.pop_back();
-        else if (event == json::parse_event_t::key
-                 && !keys.back().insert(value.get<std::string>()).second)
-            faults.add("/" + value.get<std::string>(), "given twice, expected once");
-        return true;
-    };
-    try {
-        return json::parse(text, callback, true, true);
-    } catch (const json::exception &error) {
-        const std::string what = error.what();
-        const std::size_t end = what.find("] ");
-        faults.add("", "not JSON: " + what.substr(end == std::string::npos ? 0 : end + 2));
-        return {};
-    }
+                "/idempotent", contract.idempotent,
+                "true for a service with UDP addresses, because a duplicated UDP request can't be "
+                "told from a new one");
 }
 
-ServiceContract readContract(const json &value, Faults &faults)
+ServiceContract readContract(const json &value, JsonFaults &faults)
 {
     ServiceContract contract;
     value.at("service").get_to(contract.service);
@@ -242,15 +85,15 @@
     return contract;
 }
 
-Result<ServiceContract> parseChecked(const json &value, Faults &faults)
+Result<ServiceContract> parseChecked(const json &value, JsonFaults &faults)
 {
-    checkSchema(value, faults);
+    contractSchema().check(value, faults);
     if (!faults.isEmpty())
-        return faults.error();
+        return faults.error(ErrorKind::InvalidContract);
     ServiceContract contract = readContract(value, faults);
     checkMeaning(contract, faults);
     if (!faults.isEmpty())
-        return faults.error();
+        return faults.error(ErrorKind::InvalidContract);
     return contract;
 }
 
@@ -278,16 +121,16 @@
 
 Result<ServiceContract> parseContract(std::string_view text, std::string_view file)
 {
-    Faults faults(file);
-    const json value = parseText(text, faults);
+    JsonFaults faults(file);
+    const json value = parseJsonFile(text, faults);
     if (!faults.isEmpty())
-        return faults.error();
+        return faults.error(ErrorKind::InvalidContract);
     return parseChecked(value, faults);
 }
 
 Result<ServiceContract> parseContract(const json &value, std::string_view file)
 {
-    Faults faults(file);
+    JsonFaults faults(file);
     return parseChecked(value, faults);
 }
 
@@ -295,7 +138,7 @@
 {
     std::map<ServiceId, const ServiceContract *> ids;
     std::map<ServiceAddress, const ServiceContract *> addresses;
-    Faults faults("contracts");
+    JsonFaults faults("contracts");
     for (const ServiceContract *contract : contracts) {
         const auto [other, isNew] = ids.emplace(contract->id, contract);
         const std::string &name = contract->service.value;
@@ -317,7 +160,7 @@
         }
     }
     if (!faults.isEmpty())
-        return faults.error();
+        return faults.error(ErrorKind::InvalidContract);
     return {};
 }
 
--- /dev/null
+++ b/core/jsonschema.cpp
@@ -0,0 +1,194 @@
+#include "core/jsonschema.h"
+
+#include <set>
+#include <vector>
+
+// GCC 12 reports overlapping copies in std::string::replace where there are none.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wrestrict"
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validator.hpp>
+#pragma GCC diagnostic pop
+
+namespace cactusdeck {
+
+namespace {
+
+using nlohmann::json;
+
+std::string shortText(const json &value)
+{
+    constexpr std::size_t limit = 100; // bytes
+    std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (text.size() > limit)
+        text = text.substr(0, limit) + "...";
+    return text;
+}
+
+std::string descriptionOf(const json &schema)
+{
+    return schema.value("description", "another value");
+}
+
+std::string childPath(const std::string &path, const std::string &key)
+{
+    return (json::json_pointer(path) / key).to_string();
+}
+
+// valijson writes contexts as "<root>", "[\"name\"]", "[0]".
+json::json_pointer pointerOf(const std::vector<std::string> &context)
+{
+    json::json_pointer pointer;
+    for (const std::string &step : context) {
+        if (step.size() < 2 || step.front() != '[')
+            continue;
+        std::string key = step.substr(1, step.size() - 2);
+        if (key.size() >= 2 && key.front() == '"')
+            key = key.substr(1, key.size() - 2);
+        pointer.push_back(key);
+    }
+    return pointer;
+}
+
+// valijson names unknown and missing keys only in prose, so they are looked for here.
+void checkKeys(const json &value, const json &schema, const std::string &path, JsonFaults &faults)
+{
+    if (!value.is_object() || !schema.contains("properties"))
+        return;
+    const json &properties = schema["properties"];
+    const bool isClosed = schema.value("additionalProperties", json(true)) == json(false);
+    for (const auto &item : value.items()) {
+        if (properties.contains(item.key()))
+            checkKeys(item.value(), properties[item.key()], childPath(path, item.key()), faults);
+        else if (isClosed)
+            faults.add(childPath(path, item.key()), item.value(), "no such key; it is unknown");
+    }
+    for (const json &key : schema.value("required", json::array())) {
+        const auto &name = key.get_ref<const std::string &>();
+        if (!value.contains(name))
+            faults.add(childPath(path, name),
+                       "missing, expected " + descriptionOf(properties.at(name)));
+    }
+}
+
+// Each fault is reported again for the objects around it; only the innermost path counts.
+std::set<std::string> innermostPaths(const valijson::ValidationResults &results)
+{
+    std::set<std::string> paths;
+    for (const auto &result : results)
+        paths.insert(pointerOf(result.context).to_string());
+    std::set<std::string> innermost;
+    for (auto path = paths.begin(); path != paths.end(); ++path) {
+        const auto next = paths.upper_bound(*path + "/");
+        if (!path->empty() && (next == paths.end() || !next->starts_with(*path + "/")))
+            innermost.insert(*path);
+    }
+    return innermost;
+}
+
+} // namespace
+
+JsonFaults::JsonFaults(std::string_view fileName)
+    : file(fileName)
+{ }
+
+void JsonFaults::add(const std::string &path, const std::string &fault)
+{
+    if (!this->text.empty())
+        this->text += '\n';
+    this->text += this->file + ": " + (path.empty() ? "/" : path) + ": " + fault;
+}
+
+void JsonFaults::add(const std::string &path, const json &value, const std::string &expected)
+{
+    this->add(path, "got " + shortText(value) + ", expected " + expected);
+}
+
+leaf::error_id JsonFaults::error(ErrorKind kind) const
+{
+    return fail(kind, this->text);
+}
+
+json parseJsonFile(std::string_view text, JsonFaults &faults)
+{
+    std::vector<std::set<std::string>> keys;
+    const auto callback = [&](int, json::parse_event_t event, json &value) {
+        if (event == json::parse_event_t::object_start)
+            keys.emplace_back();
+        else if (event == json::parse_event_t::object_end)
+            keys.pop_back();
+        else if (event == json::parse_event_t::key
+                 && !keys.back().insert(value.get<std::string>()).second)
+            faults.add(childPath("", value.get<std::string>()), "given twice, expected once");
+        return true;
+    };
+    try {
+        return json::parse(text, callback, true, true);
+    } catch (const json::exception &error) {
+        // The library's text begins with its own error code in brackets.
+        const std::string what = error.what();
+        const std::size_t end = what.find("] ");
+        faults.add("", "not JSON: " + what.substr(end == std::string::npos ? 0 : end + 2));
+        return {};
+    }
+}
+
+struct JsonSchema::Parts
+{
+    json document;
+    valijson::Schema schema;
+};
+
+JsonSchema::JsonSchema(std::string_view schemaText)
+{
+    auto prepared = std::make_unique<Parts>();
+    prepared->document = json::parse(schemaText);
+    valijson::SchemaParser parser;
+    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(prepared->document),
+                          prepared->schema);
+    this->parts = std::move(prepared);
+}
+
+JsonSchema::~JsonSchema() = default;
+
+std::string JsonSchema::expectedAt(const json::json_pointer &path) const
+{
+    std::vector<std::string> keys;
+    for (json::json_pointer rest = path; !rest.empty(); rest.pop_back())
+        keys.push_back(rest.back());
+    const json *node = &this->parts->document;
+    for (auto key = keys.rbegin(); key != keys.rend(); ++key) {
+        if (node->contains("items"))
+            node = &node->at("items");
+        else if (node->contains("properties") && node->at("properties").contains(*key))
+            node = &node->at("properties").at(*key);
+        else
+            break;
+    }
+    return descriptionOf(*node);
+}
+
+void JsonSchema::check(const json &value, JsonFaults &faults) const
+{
+    if (!value.is_object()) {
+        faults.add("", value, descriptionOf(this->parts->document));
+        return;
+    }
+    checkKeys(value, this->parts->document, "", faults);
+    valijson::Validator validator(valijson::Validator::kStrongTypes);
+    valijson::ValidationResults results;
+    const valijson::adapters::NlohmannJsonAdapter adapter(value);
+    if (validator.validate(this->parts->schema, adapter, &results))
+        return;
+    for (const std::string &path : innermostPaths(results)) {
+        const json::json_pointer pointer(path);
+        if (value.contains(pointer))
+            faults.add(path, value.at(pointer), this->expectedAt(pointer));
+    }
+    if (faults.isEmpty())
+        faults.add("", value, descriptionOf(this->parts->document));
+}
+
+} // namespace cactusdeck
--- a/core/publisher.cpp
+++ b/core/publisher.cpp
@@ -11,18 +11,6 @@
 constexpr std::size_t parallelWrites = 8;
 // Bounds the head, which carries 64 summaries and is read by every reader.
 constexpr std::size_t maxReason = 500; // bytes
-constexpr std::size_t maxObject = 1'000'000; // bytes, the store's limit
-
-std::string counted(const char *what, const std::vector<ServiceName> &names)
-{
-    constexpr std::size_t shown = 5;
-    std::string text = std::to_string(names.size()) + ' ' + what;
-    for (std::size_t i = 0; i < std::min(shown, names.size()); ++i)
-        text += (i == 0 ? " (" : ", ") + names[i].value;
-    if (!names.empty())
-        text += names.size() > shown ? ", ...)" : ")";
-    return text;
-}
 
 std::string describe(const ChangeRecord &record)
 {
@@ -30,12 +18,6 @@
            + record.author + ": " + record.summary;
 }
 
-ZoneState zoneStateOf(const ConfigurationHead &head, const ZoneName &zone)
-{
-    const auto found = head.zones.find(zone);
-    return found == head.zones.end() ? ZoneState::In : found->second;
-}
-
 bool isUnreachable(StoreStatus status)
 {
     return status == StoreStatus::Unavailable || status == StoreStatus::Timeout;
@@ -71,21 +53,6 @@
 void Publisher::publish(std::vector<ServiceContract> newContracts, TimePoint now, Outbox &outbox)
 {
     this->contracts = std::move(newContracts);
-    const std::string fault = leaf::try_handle_all(
-            [&]() -> Result<std::string> {
-                BOOST_LEAF_CHECK(checkContracts(this->contracts));
-                return std::string();
-            },
-            [](const Error &error) { return error.message; },
-            [] { return std::string("contracts: not valid"); });
-    if (!fault.empty())
-        return this->reject(ErrorKind::InvalidContract, fault);
-    if (this->contracts.empty() && !this->options.force)
-        return this->reject(ErrorKind::InvalidContract,
-                            "no contract given; publishing none removes all services and must be "
-                            "forced");
-    for (const ServiceContract &contract : this->contracts)
-        this->hashes[contract.service] = contractHash(contractText(contract));
     this->begin(Change::Contracts, now, outbox);
 }
 
@@ -150,7 +117,7 @@
     if (this->step == Step::WriteObjects) {
         this->sendObjects(now, outbox);
         const bool allWritten = std::all_of(this->objects.begin(), this->objects.end(),
-                                            [](const ServiceObject &o) { return o.written; });
+                                            [](const ObjectState &o) { return o.written; });
         if (allWritten)
             this->step = Step::WriteHead;
     }
@@ -165,7 +132,7 @@
     StoreCall call{ .key = std::string(headKey) };
     if (this->step == Step::WriteHead || this->step == Step::Confirm) {
         call.operation = StoreOperation::Put;
-        call.value = headText(this->step == Step::Confirm ? this->base : this->target);
+        call.value = headText(this->step == Step::Confirm ? this->base : this->plan.target);
         call.version = this->baseObject;
     }
     if (this->headSlot.send(std::move(call), now, outbox) && this->step == Step::WriteHead)
@@ -181,11 +148,11 @@
             writer.object = this->nextObject++;
         if (!writer.object || !writer.slot.isReady(now))
             continue;
-        const ServiceObject &object = this->objects[*writer.object];
+        const ServiceObject &object = this->plan.objects[*writer.object];
         writer.slot.send({ .operation = StoreOperation::Put,
                            .key = object.key,
                            .value = object.text,
-                           .version = object.replaces },
+                           .version = this->objects[*writer.object].replaces },
                          now, outbox);
     }
 }
@@ -194,7 +161,7 @@
 {
     if (!writer.object)
         return;
-    ServiceObject &object = this->objects[*writer.object];
+    ObjectState &object = this->objects[*writer.object];
     if (answer.status == StoreStatus::Ok)
         object.written = true;
     else if (answer.status == StoreStatus::Conflict)
@@ -246,13 +213,13 @@
         return this->reject(ErrorKind::InvalidContract, fault);
     this->base = std::move(head);
     this->baseObject = object;
-    this->plan();
+    this->planAgain();
 }
 
 void Publisher::onHeadWritten(const StoreAnswer &answer)
 {
     if (answer.status == StoreStatus::Ok) {
-        this->finishAccepted(this->target.version);
+        this->finishAccepted(this->plan.target.version);
         return;
     }
     if (answer.status == StoreStatus::Conflict) {
@@ -297,7 +264,7 @@
     // than the head has records.
     const bool isCovered = !head.changes.empty()
                            && (head.changes.size() < changeHistory
-                               || head.changes.front().version <= this->target.version);
+                               || head.changes.front().version <= this->plan.target.version);
     if (this->unanswered > 0 && !isCovered)
         return this->onDeadline();
     this->onLost(std::move(head), object);
@@ -316,10 +283,10 @@
         return this->finishConflict(winner);
     this->base = std::move(winner);
     this->baseObject = object;
-    this->plan();
+    this->planAgain();
 }
 
-void Publisher::plan()
+void Publisher::planAgain()
 {
     this->objects.clear();
     this->nextObject = 0;
@@ -327,112 +294,38 @@
         writer.slot.reset();
         writer.object.reset();
     }
-    if (this->change == Change::LookUp) {
-        if (const ChangeRecord *own = findChange(this->base, this->options.changeId))
-            return this->finishAccepted(own->version);
-        return this->reject(ErrorKind::NotFound,
-                            "change " + this->options.changeId + " is not among the last "
-                                    + std::to_string(changeHistory) + " accepted changes");
-    }
+    if (this->change == Change::LookUp)
+        return this->finishLookUp();
     if (findChange(this->base, this->options.changeId))
         return this->reject(ErrorKind::InvalidArgument,
                             "change " + this->options.changeId + " was accepted before");
-    if (this->change == Change::Contracts)
-        this->planContracts();
-    else
-        this->planZone();
-}
-
-void Publisher::planContracts()
-{
-    this->diff = {};
-    for (const ServiceContract &contract : this->contracts) {
-        const std::string &hash = this->hashes[contract.service];
-        const auto old = this->base.services.find(contract.service);
-        if (old != this->base.services.end() && old->second == hash)
-            continue;
-        const bool isNew = old == this->base.services.end();
-        (isNew ? this->diff.added : this->diff.changed).push_back(contract.service);
-        this->objects.push_back({ serviceKey(contract.service, hash), contractText(contract) });
-    }
-    for (const auto &[service, hash] : this->base.services) {
-        if (!this->hashes.contains(service))
-            this->diff.removed.push_back(service);
-    }
-    if (this->diff.isEmpty())
-        return this->planUnchanged();
-    this->planTarget(this->diffText());
-    this->target.services = this->hashes;
-    const std::size_t size = headText(this->target).size();
-    if (size > maxObject)
-        return this->reject(ErrorKind::InvalidContract,
-                            "the head would have " + std::to_string(size)
-                                    + " bytes, expected at most " + std::to_string(maxObject));
-    this->step = Step::WriteObjects;
-}
-
-void Publisher::planZone()
-{
-    if (!this->isKnownZone() && !this->options.force)
-        return this->reject(ErrorKind::UnknownZone,
-                            "zone \"" + this->zone.value
-                                    + "\" is neither in the configuration nor that of a live node");
-    if (zoneStateOf(this->base, this->zone) == this->zoneState)
-        return this->planUnchanged();
-    if (this->zoneState == ZoneState::Out && this->isLastZone() && !this->options.force)
-        return this->reject(
-                ErrorKind::InvalidArgument,
-                "zone \"" + this->zone.value
-                        + "\" is the last one that is in; taking it out must be forced");
-    this->planTarget("zone " + this->zone.value + " " + std::string(toString(this->zoneState)));
-    this->target.zones[this->zone] = this->zoneState;
-    this->step = Step::WriteHead;
-}
-
-void Publisher::planTarget(std::string summary)
-{
-    if (!this->options.reason.empty())
-        summary += "; " + this->options.reason;
-    this->target = this->base;
-    addChange(this->target,
-              { .version = std::max(this->base.version, this->options.newestKnown) + 1,
-                .changeId = this->options.changeId,
-                .author = this->options.author,
-                .time = this->options.time,
-                .summary = std::move(summary) });
-}
-
-void Publisher::planUnchanged()
-{
-    if (this->base.version != 0) {
-        this->step = Step::Confirm;
-        return;
-    }
-    this->finish(PublishResult::Unchanged, {}, "nothing was ever published");
-}
-
-bool Publisher::isKnownZone() const
-{
-    const auto &known = this->options.knownZones;
-    return this->base.zones.contains(this->zone)
-           || std::count(known.begin(), known.end(), this->zone) > 0;
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_ASSIGN(this->plan, this->makePlan());
+                this->objects.resize(this->plan.objects.size());
+                this->step = this->plan.isUnchanged ? Step::Confirm : Step::WriteObjects;
+                return {};
+            },
+            [&](const Error &error) { this->reject(error.kind, error.message); },
+            [&] { this->reject(ErrorKind::Internal, "no plan"); });
+    if (this->step == Step::Confirm && this->base.version == 0)
+        this->finish(PublishResult::Unchanged, {}, "nothing was ever published");
 }
 
-bool Publisher::isLastZone() const
+Result<ChangePlan> Publisher::makePlan() const
 {
-    const auto isOtherIn = [&](const ZoneName &other) {
-        return other != this->zone && zoneStateOf(this->base, other) == ZoneState::In;
-    };
-    const auto &known = this->options.knownZones;
-    return std::none_of(known.begin(), known.end(), isOtherIn)
-           && std::none_of(this->base.zones.begin(), this->base.zones.end(),
-                           [&](const auto &entry) { return isOtherIn(entry.first); });
+    if (this->change == Change::Contracts)
+        return planContracts(this->base, this->contracts, this->options);
+    return planZone(this->base, this->zone, this->zoneState, this->options);
 }
 
-std::string Publisher::diffText() const
+void Publisher::finishLookUp()
 {
-    return counted("added", this->diff.added) + ", " + counted("changed", this->diff.changed) + ", "
-           + counted("removed", this->diff.removed);
+    if (const ChangeRecord *own = findChange(this->base, this->options.changeId))
+        return this->finishAccepted(own->version);
+    this->reject(ErrorKind::NotFound, "change " + this->options.changeId + " is not among the last "
+                                              + std::to_string(changeHistory)
+                                              + " accepted changes");
 }
 
 void Publisher::onDeadline()
@@ -467,7 +360,7 @@
     this->result = PublishOutcome{ .result = kind,
                                    .changeId = this->options.changeId,
                                    .version = this->base.version,
-                                   .diff = this->diff,
+                                   .diff = this->plan.diff,
                                    .error = std::move(error),
                                    .message = std::move(message) };
 }
--- a/core/publisher.h
+++ b/core/publisher.h
@@ -2,12 +2,12 @@
 #define CACTUSDECK_CORE_PUBLISHER_H
 
 #include <chrono>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "core/configuration.h"
+#include "core/changeplan.h"
+#include "core/head.h"
 #include "core/storecalls.h"
 
 // One change by an operator, from the command to its outcome.
@@ -27,22 +27,6 @@
 
 namespace cactusdeck {
 
-struct PublisherOptions
-{
-    std::string changeId; // unique
-    std::string author;
-    std::string reason;
-    std::chrono::milliseconds time{}; // since the epoch, recorded with the change
-    Duration deadline = std::chrono::seconds(30);
-    // Accepts what is otherwise refused: taking the last zone out, an unknown zone, publishing no
-    // contract at all.
-    bool force = false;
-    // Zones of live nodes. Together with those in the head they are the zones that exist.
-    std::vector<ZoneName> knownZones;
-    // Newest version that any node reports; an older head is a stale read.
-    ConfigurationVersion newestKnown = 0;
-};
-
 enum class PublishResult : std::uint8_t {
     Accepted, // in effect as `version`
     Unchanged, // the configuration already is as asked for
@@ -56,19 +40,6 @@
 // The command that finds out whether a change was accepted; it calls Publisher::lookUp.
 std::string checkCommand(const std::string &changeId);
 
-// What a set of contracts changes.
-struct ContractDiff
-{
-    std::vector<ServiceName> added;
-    std::vector<ServiceName> changed;
-    std::vector<ServiceName> removed;
-
-    bool isEmpty() const
-    {
-        return this->added.empty() && this->changed.empty() && this->removed.empty();
-    }
-};
-
 struct PublishOutcome
 {
     PublishResult result = PublishResult::Rejected;
@@ -107,10 +78,8 @@
         ReadBack, // after a conflict, or a head write whose answer didn't come
         Done,
     };
-    struct ServiceObject
+    struct ObjectState
     {
-        std::string key;
-        std::string text;
         std::uint64_t replaces = 0; // object version
         bool written = false;
     };
@@ -127,15 +96,13 @@
     Step step = Step::Done;
     TimePoint deadline;
     std::vector<ServiceContract> contracts;
-    std::map<ServiceName, std::string> hashes; // of contracts
     ZoneName zone;
     ZoneState zoneState = ZoneState::In;
 
     ConfigurationHead base; // head that was read
     std::uint64_t baseObject = 0; // its store version
-    ConfigurationHead target;
-    ContractDiff diff;
-    std::vector<ServiceObject> objects;
+    ChangePlan plan;
+    std::vector<ObjectState> objects; // of plan.objects
     std::size_t nextObject = 0; // first one without a writer
     std::uint64_t conflictObject = 0; // store version that a conflict named; older heads are stale
     int unanswered = 0; // head writes that may still take effect
@@ -154,14 +121,9 @@
     void onObjectAnswer(ObjectWriter &writer, const StoreAnswer &answer);
     void onLost(ConfigurationHead winner, std::uint64_t object);
     void onDeadline();
-    void plan();
-    void planContracts();
-    void planZone();
-    void planTarget(std::string summary);
-    void planUnchanged();
-    bool isKnownZone() const;
-    bool isLastZone() const;
-    std::string diffText() const;
+    void planAgain();
+    Result<ChangePlan> makePlan() const;
+    void finishLookUp();
     void finish(PublishResult kind, Error error, std::string message);
     void finishAccepted(ConfigurationVersion version);
     void finishConflict(const ConfigurationHead &winner);
