--- a/core/configuration.cpp
+++ b/core/configuration.cpp
@@ -125,7 +125,7 @@
     for (const ServiceName &name : delta.removed)
         merged.erase(name);
     for (const json &value : delta.contracts) {
-        BOOST_LEAF_AUTO(contract, parseContract(value, "configuration delta"));
+        BOOST_LEAF_AUTO(contract, readContract(value, "configuration delta"));
         ContractPointer pointer = publish(std::move(contract));
         if (!isVisible(pointer, delta.group))
             return fail(ErrorKind::InvalidContract,
--- a/core/contract.cpp
+++ b/core/contract.cpp
@@ -62,7 +62,7 @@
                 "told from a new one");
 }
 
-ServiceContract readContract(const json &value, JsonFaults &faults)
+ServiceContract readFields(const json &value, JsonFaults &faults)
 {
     ServiceContract contract;
     value.at("service").get_to(contract.service);
@@ -90,7 +90,7 @@
     contractSchema().check(value, faults);
     if (!faults.isEmpty())
         return faults.error(ErrorKind::InvalidContract);
-    ServiceContract contract = readContract(value, faults);
+    ServiceContract contract = readFields(value, faults);
     checkMeaning(contract, faults);
     if (!faults.isEmpty())
         return faults.error(ErrorKind::InvalidContract);
@@ -128,7 +128,7 @@
     return parseChecked(value, faults);
 }
 
-Result<ServiceContract> parseContract(const json &value, std::string_view file)
+Result<ServiceContract> readContract(const json &value, std::string_view file)
 {
     JsonFaults faults(file);
     return parseChecked(value, faults);
--- a/core/contract.h
+++ b/core/contract.h
@@ -67,7 +67,7 @@
 
 // file is used in error messages only.
 Result<ServiceContract> parseContract(std::string_view text, std::string_view file);
-Result<ServiceContract> parseContract(const nlohmann::json &json, std::string_view file);
+Result<ServiceContract> readContract(const nlohmann::json &json, std::string_view file);
 
 // Checks one contract against all others: services and addresses are unique, no two names have the
 // same ServiceId. The result of parseContract is assumed for each.
