Add the node library and the balancer and agent daemons

The state machines of core/ do no I/O, so nothing could run them on sockets.

One thread per node runs the state machine: data, control and server sockets in batches (recvmmsg, sendmmsg), the 50 ms timer and posted events. Blocking work (store calls, deliveries, health polls, log lines) runs in CAF actors, each HTTP call in a detached actor of its own. JSON-RPC uses libjsonrpccpp with connectors on cpp-httplib: the library's own server binds the port on all addresses, and its own client applies no timeout to the connection.

Checked by hand with placeholder state machines: both daemons start, forward a packet, answer status and explain, and exit with 0 on two SIGTERMs.

--- /dev/null
+++ b/node/daemon.h
@@ -0,0 +1,33 @@
+#ifndef CACTUSDECK_NODE_DAEMON_H
+#define CACTUSDECK_NODE_DAEMON_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "node/runningnode.h"
+
+// What the two daemons share: command line, exit codes and signals.
+//
+//     return runDaemon({ .name = "cactusdeck-agent", .description = ..., .check = ..., .start = ...
+//     },
+//                      argc, argv);
+
+namespace cactusdeck {
+
+struct DaemonProgram
+{
+    const char *name;
+    const char *description;
+    // Loads the settings only.
+    std::function<Result<void>(const std::string &file)> check;
+    // Loads the settings and starts the node.
+    std::function<Result<std::unique_ptr<RunningNode>>(const std::string &file)> start;
+};
+
+// Runs a daemon until SIGTERM or SIGINT has stopped it. Returns the exit code.
+int runDaemon(const DaemonProgram &program, int argc, char **argv);
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_NODE_DAEMON_H
--- /dev/null
+++ b/node/logging.h
@@ -0,0 +1,84 @@
+#ifndef CACTUSDECK_NODE_LOGGING_H
+#define CACTUSDECK_NODE_LOGGING_H
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "core/outbox.h"
+#include "node/metrics.h"
+#include "node/settings.h"
+
+// Log lines "event=<name> key=value ...", written by easylogging++ off the packet thread.
+//
+//     BOOST_LEAF_CHECK(configureLogging(settings.log));
+//     EventLog log({ .level = settings.log.level, .wake = ... });
+//     log.push(event);                // any thread; never blocks on the target
+//     log.drain(writeLogLine);        // writer thread, after wake was called
+
+namespace cactusdeck {
+
+// Values with spaces, quotes, control characters, '=' or no character at all are quoted, with
+// backslash escapes.
+std::string formatEvent(const Event &event);
+
+inline constexpr std::size_t defaultLogCapacity = 8192; // lines
+
+struct EventLogOptions
+{
+    Level level = Level::Info; // lower levels are discarded
+    std::size_t capacity = defaultLogCapacity;
+    // Called when the queue becomes non-empty, on the thread of push.
+    std::function<void()> wake = {};
+    Metrics *metrics = nullptr;
+};
+
+class EventLog
+{
+public:
+    using Writer = std::function<void(Level, const std::string &)>;
+
+    explicit EventLog(EventLogOptions options);
+
+    void setWake(std::function<void()> wake);
+    void push(Event event);
+    // Writes all queued lines, then one line event=log_dropped if lines were lost since the last
+    // call. Returns the number of lines written.
+    std::size_t drain(const Writer &write);
+
+private:
+    EventLogOptions options;
+    std::mutex mutex;
+    std::deque<Event> queue;
+    std::uint64_t dropped = 0;
+};
+
+// Lets through one event per interval and counts the others, for datagrams that anybody may send.
+class RateLimit
+{
+public:
+    explicit RateLimit(Duration minimum)
+        : interval(minimum)
+    { }
+
+    // True if an event at this time may be logged; suppressed is then the number of events that
+    // were not since the last one.
+    bool isAllowed(TimePoint now, std::uint64_t &suppressed);
+
+private:
+    Duration interval;
+    bool used = false;
+    TimePoint last{};
+    std::uint64_t count = 0;
+};
+
+// Sets level, target and line format of easylogging++. Fails with Io if the file can't be written.
+Result<void> configureLogging(const LogSettings &settings);
+void writeLogLine(Level level, const std::string &line);
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_NODE_LOGGING_H
--- /dev/null
+++ b/node/packetloop.h
@@ -0,0 +1,141 @@
+#ifndef CACTUSDECK_NODE_PACKETLOOP_H
+#define CACTUSDECK_NODE_PACKETLOOP_H
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <thread>
+#include <vector>
+
+#include "core/agent.h"
+#include "core/outbox.h"
+#include "core/packet.h"
+#include "node/datasocket.h"
+#include "node/logging.h"
+#include "node/metrics.h"
+
+// The thread on which a node's state machine runs: packets, control datagrams, the timer, and
+// events that other threads post. The state machine therefore needs no lock.
+//
+//     BOOST_LEAF_AUTO(loop, PacketLoop::open({ .data = ..., .control = ... }, machine, shell));
+//     loop->start();
+//     loop->post([&](TimePoint now, Outbox &outbox) { machine.onStoreAnswer(answer, now, outbox);
+//     }); loop->requestStop();            // SIGTERM loop->join();                   // returns
+//     when the machine says that it is stopped
+
+namespace cactusdeck {
+
+// The event handlers of a Balancer or an Agent. Members that a role lacks are empty.
+struct NodeMachine
+{
+    std::function<void(TimePoint, Outbox &)> start;
+    // From the data socket. Returns false for a datagram of no known kind.
+    std::function<bool(std::span<const std::uint8_t>, TimePoint, DataSink &, Outbox &)> onDatagram;
+    std::function<void(std::span<const std::uint8_t>, TimePoint, DataSink &, Outbox &)>
+            onServerPacket;
+    std::function<void(const ControlMessage &, TimePoint, Outbox &)> onControl;
+    std::function<void(const StoreAnswer &, TimePoint, Outbox &)> onStoreAnswer;
+    std::function<void(const ServerHealth &, TimePoint, Outbox &)> onServerHealth;
+    std::function<void(TimePoint, DataSink &, Outbox &)> onTimer;
+    std::function<void(TimePoint, DataSink &, Outbox &)> stop;
+    std::function<bool(TimePoint)> isStopped;
+    std::function<nlohmann::json(TimePoint)> status;
+    std::function<nlohmann::json(const FlowKey &, TimePoint)> explain;
+};
+
+// What the loop hands to other threads. None of these may block.
+struct NodeShell
+{
+    std::function<void(StoreCall)> callStore;
+    // A control message above maxDatagram.
+    std::function<void(Endpoint, std::vector<std::uint8_t>)> deliver;
+    EventLog *log = nullptr;
+    Metrics *metrics = nullptr;
+};
+
+struct PacketLoopOptions
+{
+    Endpoint data;
+    Endpoint control;
+    Endpoint fabric;
+    std::optional<Endpoint> server; // agents: the backend server's endpoint for packets
+};
+
+class PacketLoop
+{
+public:
+    using Task = std::function<void(TimePoint, Outbox &)>;
+
+    // Binds the sockets. Errors are of kind Io.
+    static Result<std::unique_ptr<PacketLoop>> open(const PacketLoopOptions &options,
+                                                    NodeMachine machine, NodeShell shell);
+    ~PacketLoop();
+    PacketLoop(const PacketLoop &) = delete;
+    PacketLoop &operator=(const PacketLoop &) = delete;
+
+    // Endpoints after binding, for options with port 0.
+    Endpoint dataEndpoint() const;
+    Endpoint controlEndpoint() const;
+
+    void start();
+    // Runs the task on the loop's thread. Returns false when the queue is full or the loop has
+    // ended. A task that is accepted but not run is destroyed.
+    bool post(Task task);
+    // Calls the machine's stop once, however often it is requested.
+    void requestStop();
+    // Ends the loop without waiting for the machine.
+    void abort();
+    void join();
+    // Readable when the loop has ended.
+    int endedDescriptor() const;
+
+private:
+    class Sink;
+
+    PacketLoop(DataSocket data, DataSocket control, std::optional<DataSocket> server,
+               const PacketLoopOptions &options, NodeMachine machine, NodeShell shell);
+
+    Result<void> openDescriptors();
+    void run();
+    void handleDescriptor(int descriptor);
+    void onDataReadable();
+    void onServerReadable();
+    void onControlReadable();
+    void onTimerReadable();
+    void onTasksReadable();
+    void onMalformed(const char *socket, const Datagram &datagram);
+    void recordBatch(TimePoint begin, std::size_t count);
+    void carryOut();
+    void sendControl(const ControlSend &send);
+    void flush();
+
+    DataSocket data;
+    DataSocket control;
+    std::optional<DataSocket> server;
+    Endpoint fabric;
+    Endpoint serverEndpoint;
+    NodeMachine machine;
+    NodeShell shell;
+    std::unique_ptr<Sink> sink;
+    Outbox outbox;
+    RateLimit malformedLimit;
+    int epollDescriptor = -1;
+    int timerDescriptor = -1;
+    int tasksDescriptor = -1; // eventfd
+    int doneDescriptor = -1; // eventfd
+    std::mutex mutex;
+    std::vector<Task> tasks;
+    bool ended = false; // guarded by mutex
+    std::atomic<bool> stopRequested{ false };
+    std::atomic<bool> abortRequested{ false };
+    bool stopping = false;
+    bool stopped = false;
+    std::thread thread;
+};
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_NODE_PACKETLOOP_H
--- /dev/null
+++ b/node/rpcclient.h
@@ -0,0 +1,47 @@
+#ifndef CACTUSDECK_NODE_RPCCLIENT_H
+#define CACTUSDECK_NODE_RPCCLIENT_H
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "core/error.h"
+#include "core/types.h"
+
+// JSON-RPC calls to one node.
+//
+//     RpcClient client(node.control);
+//     BOOST_LEAF_AUTO(status, client.call("status"));
+//
+// Errors: the kind whose code the node answered; PeerUnavailable when it can't be reached or gives
+// no valid answer in time; Internal for a code that is not in the table.
+
+namespace cactusdeck {
+
+inline constexpr std::chrono::milliseconds rpcTimeout{ 2000 };
+
+class RpcClient
+{
+public:
+    explicit RpcClient(Endpoint node, std::chrono::milliseconds timeout = rpcTimeout);
+
+    Result<nlohmann::json> call(const std::string &method,
+                                const nlohmann::json &parameters = nlohmann::json::object()) const;
+    // Sends an encoded control message that is too big for a datagram.
+    Result<void> deliver(std::span<const std::uint8_t> message) const;
+
+private:
+    Endpoint node;
+    std::chrono::milliseconds timeout;
+};
+
+// RFC 4648, with padding. decodeBase64 returns false for other text.
+std::string encodeBase64(std::span<const std::uint8_t> bytes);
+bool decodeBase64(const std::string &text, std::vector<std::uint8_t> &bytes);
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_NODE_RPCCLIENT_H
--- /dev/null
+++ b/node/runningnode.h
@@ -0,0 +1,78 @@
+#ifndef CACTUSDECK_NODE_RUNNINGNODE_H
+#define CACTUSDECK_NODE_RUNNINGNODE_H
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "node/actors.h"
+#include "node/packetloop.h"
+#include "node/rpcserver.h"
+#include "node/settings.h"
+
+// One running balancer or agent: packet loop, actors and JSON-RPC server around a state machine.
+//
+//     BOOST_LEAF_AUTO(node, RunningNode::start(settings.node, roleOptions, machine));
+//     node->requestStop();
+//     node->waitUntilStopped();
+
+namespace cactusdeck {
+
+class RunningNode
+{
+public:
+    struct RoleOptions
+    {
+        std::optional<Endpoint> store; // balancers
+        std::optional<ServerSettings> server; // agents
+    };
+
+    // settings.data, settings.control may have port 0. Errors are of kind Io.
+    static Result<std::unique_ptr<RunningNode>> start(const NodeSettings &settings,
+                                                      const RoleOptions &role, NodeMachine machine);
+    ~RunningNode();
+    RunningNode(const RunningNode &) = delete;
+    RunningNode &operator=(const RunningNode &) = delete;
+
+    Endpoint dataEndpoint() const;
+    // UDP; JSON-RPC listens on the same port unless the settings have port 0.
+    Endpoint controlEndpoint() const;
+    Endpoint rpcEndpoint() const;
+
+    // Starts the graceful stop; further calls have no effect.
+    void requestStop();
+    void waitUntilStopped();
+    // Readable when the node has stopped.
+    int endedDescriptor() const;
+
+private:
+    RunningNode(const NodeSettings &settings, NodeMachine machine);
+
+    Result<void> open(const NodeSettings &settings, const RoleOptions &role);
+    void addMethods(const NodeSettings &settings);
+    Result<nlohmann::json> deliver(const std::string &text);
+    Result<nlohmann::json> explain(const std::string &flow);
+    // Runs f on the packet loop's thread and waits for its value.
+    Result<nlohmann::json> query(std::function<nlohmann::json(TimePoint)> f);
+    void onStoreAnswer(const StoreAnswer &answer);
+    void onServerHealth(const ServerHealth &health);
+
+    NodeMachine machine;
+    Metrics metrics;
+    EventLog log;
+    RpcServer rpc;
+    std::unique_ptr<NodeActors> actors;
+    std::unique_ptr<PacketLoop> loop;
+    Endpoint rpcAddress;
+};
+
+// "10.0.0.1:4000>198.51.100.10:443/tcp"; an error of kind InvalidArgument for other text.
+Result<FlowKey> parseFlow(const std::string &text);
+
+// Seconds since the epoch: higher than in any earlier run of this id, without any storage.
+Incarnation currentIncarnation();
+
+} // namespace cactusdeck
+
+#endif // CACTUSDECK_NODE_RUNNINGNODE_H
--- /dev/null
+++ b/programs/cactusdeck-agent.cpp
@@ -0,0 +1,6 @@
+#include "node/agentdaemon.h"
+
+int main(int argc, char **argv)
+{
+    return cactusdeck::runAgentDaemon(argc, argv);
+}
