--- /dev/null
+++ b/core/admission_test.cpp
@@ -0,0 +1,292 @@
+#include "core/admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/capacityweight.h"
+#include "core/requestqueue.h"
+
+using namespace cactusdeck;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr AdmissionLimits limits{
+    .slots = 8, .coldSlots = 1, .connections = 100, .requestDeadline = 10s
+};
+
+// A server with a given latency that always has requests waiting.
+struct Load
+{
+    explicit Load(AdmissionLimits admissionLimits = limits)
+    {
+        this->admission.start(this->now);
+        this->admission.setLimits(admissionLimits);
+    }
+
+    // Begins as many requests as are admitted and returns how many are in progress.
+    std::uint32_t fill()
+    {
+        while (const auto ticket = this->admission.begin(this->now))
+            this->tickets.push_back(*ticket);
+        return std::uint32_t(this->tickets.size());
+    }
+    void completeAll(Duration latency)
+    {
+        this->now += latency;
+        this->admission.noteServerPacket(this->now);
+        for (const std::uint32_t ticket : this->tickets) {
+            this->admission.onFirstResponse(ticket, this->now);
+            this->admission.end(ticket, this->now);
+        }
+        this->tickets.clear();
+    }
+    void run(int rounds, Duration latency = 10ms)
+    {
+        for (int i = 0; i < rounds; ++i) {
+            this->fill();
+            this->completeAll(latency);
+        }
+    }
+    ServerHealth health(ServerStatus status, std::uint64_t startedAt = 1) const
+    {
+        return { .reachable = true, .status = status, .startedAt = startedAt };
+    }
+
+    TimePoint now{ 1000s };
+    Admission admission;
+    std::vector<std::uint32_t> tickets;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(admission)
+
+// Guards against a cold server that gets more than it can handle: the limit must not rise before
+// enough responses have come at normal latency, nor by more than a doubling, nor above the slots.
+BOOST_AUTO_TEST_CASE(coldServerIsNeverAboveWhatItBears)
+{
+    Load load;
+    std::uint32_t allowed = 1;
+    std::uint32_t completions = 0;
+    for (int round = 0; round < 100; ++round) {
+        const std::uint32_t inProgress = load.fill();
+        BOOST_TEST(inProgress <= allowed);
+        load.completeAll(10ms);
+        completions += inProgress;
+        if (completions >= std::max(4u, 2 * allowed)) {
+            completions = 0;
+            allowed = std::min(allowed * 2, limits.slots);
+        }
+    }
+    BOOST_TEST(load.fill() == limits.slots);
+}
+
+// Guards against growth through requests that never used the limit.
+BOOST_AUTO_TEST_CASE(unusedLimitDoesNotGrow)
+{
+    Load load;
+    load.run(4);
+    BOOST_TEST(load.admission.learned() == 2u);
+    for (int i = 0; i < 100; ++i) {
+        load.tickets.push_back(*load.admission.begin(load.now));
+        load.completeAll(10ms);
+    }
+    BOOST_TEST(load.admission.learned() == 2u);
+}
+
+// Guards against overload that is answered too late: latency above 3 times the baseline.
+BOOST_AUTO_TEST_CASE(slowResponsesHalveTheLimitOnce)
+{
+    Load load;
+    load.run(60);
+    BOOST_REQUIRE(load.admission.learned() == 8u);
+    load.run(1, 50ms);
+    BOOST_TEST(load.admission.learned() == 4u); // not once for each of the 8 responses
+    BOOST_TEST(load.admission.coldResets() == 0u);
+}
+
+// Guards against a silent cold restart under load: responses above 8 times the baseline, or none.
+BOOST_AUTO_TEST_CASE(silentColdServerIsDetected)
+{
+    Load slow;
+    slow.run(60);
+    slow.run(1, 200ms);
+    BOOST_TEST(slow.admission.learned() == 1u);
+
+    Load stuck;
+    stuck.run(60);
+    stuck.fill();
+    stuck.now += 150ms; // no response yet, the timer notices
+    stuck.admission.onTimer(stuck.now);
+    BOOST_TEST(stuck.admission.learned() == 1u);
+    BOOST_TEST(!stuck.admission.begin(stuck.now));
+}
+
+// Guards against a burst on a server that became cold while nobody used it.
+BOOST_AUTO_TEST_CASE(idleServerIsTriedBeforeABurst)
+{
+    Load load;
+    load.run(60);
+    load.now += 5s;
+    BOOST_TEST(load.fill() == 1u);
+    load.completeAll(10ms);
+    BOOST_TEST(load.fill() == 8u);
+}
+
+// Guards against a health endpoint that lies in either direction: "serving" never raises the limit,
+// "cold" and "shedding" for ever don't take the server out of use for ever.
+BOOST_AUTO_TEST_CASE(lyingHealthOnlyLowers)
+{
+    Load load;
+    for (int i = 0; i < 50; ++i) {
+        load.admission.onHealth(load.health(ServerStatus::Serving), load.now);
+        load.now += 100ms;
+    }
+    BOOST_TEST(load.fill() == 1u);
+    load.completeAll(10ms);
+    load.run(60);
+    BOOST_REQUIRE(load.admission.learned() == 8u);
+
+    load.admission.onHealth(load.health(ServerStatus::Cold), load.now);
+    BOOST_TEST(load.admission.learned() == 1u);
+    load.run(60);
+    BOOST_TEST(load.fill() == 1u); // believed for a while
+    load.completeAll(10ms);
+    load.now += Admission::healthTrust;
+    load.admission.onHealth(load.health(ServerStatus::Cold), load.now);
+    load.run(60);
+    BOOST_TEST(load.fill() == 8u);
+    load.completeAll(10ms);
+
+    load.admission.onHealth(load.health(ServerStatus::Shedding), load.now);
+    load.admission.onHealth(load.health(ServerStatus::Shedding), load.now);
+    BOOST_TEST(load.admission.learned() == 4u);
+}
+
+// Guards against a restart that the health endpoint reports after the server has reconnected.
+BOOST_AUTO_TEST_CASE(newStartTimeMeansCold)
+{
+    Load load;
+    BOOST_TEST(!load.admission.onHealth(load.health(ServerStatus::Serving, 1), load.now));
+    load.run(60);
+    BOOST_TEST(load.admission.onHealth(load.health(ServerStatus::Serving, 2), load.now));
+    BOOST_TEST(load.fill() == 1u);
+}
+
+// Guards against taking load shedding for a restart: a server that still responds on older
+// connections hasn't restarted.
+BOOST_AUTO_TEST_CASE(shedConnectionIsNoRestart)
+{
+    Load load;
+    load.run(60);
+    const TimePoint opened = load.now - 1s;
+    load.admission.onLostConnection(load.now);
+    BOOST_TEST(load.admission.learned() == 1u);
+    load.admission.onResponseOn(load.now + 1ms, load.now + 1ms); // a newer flow proves nothing
+    BOOST_TEST(load.admission.learned() == 1u);
+    load.admission.onResponseOn(opened, load.now + 2ms);
+    BOOST_TEST(load.admission.learned() == 4u);
+}
+
+// Guards against new flows for a server that no longer answers, and against giving it up for good.
+BOOST_AUTO_TEST_CASE(silentServerGetsOnlyTrials)
+{
+    Load load;
+    const Admission::FlowRequest request{ .connections = 1 };
+    load.admission.noteDelivery(load.now);
+    load.now += Admission::silenceLimit + 1ms;
+    int accepted = 0;
+    for (int i = 0; i < 100; ++i, load.now += 50ms)
+        accepted += load.admission.decideFlow(request, load.now) == FlowDecision::Accept ? 1 : 0;
+    BOOST_TEST(accepted == 5);
+    load.admission.noteServerPacket(load.now);
+    BOOST_TEST(int(load.admission.decideFlow(request, load.now)) == int(FlowDecision::Accept));
+    BOOST_TEST(load.admission.coldResets() == 1u);
+}
+
+// Guards against more connections than the contract allows, and against a busy server that keeps
+// flows which the next hop could take.
+BOOST_AUTO_TEST_CASE(newFlowsAreDeclinedAtLimits)
+{
+    Load load;
+    const auto decide = [&](std::size_t connections, std::size_t waiting, bool isLastHop) {
+        return int(load.admission.decideFlow({ connections, waiting, isLastHop }, load.now));
+    };
+    BOOST_TEST(decide(99, 0, true) == int(FlowDecision::Accept));
+    BOOST_TEST(decide(100, 0, true) == int(FlowDecision::Connections));
+    BOOST_TEST(decide(0, 1, false) == int(FlowDecision::Busy));
+    BOOST_TEST(decide(0, 1, true) == int(FlowDecision::Accept));
+    // 50 requests one after the other at the assumed 100 ms fill half of the deadline.
+    BOOST_TEST(decide(0, 50, true) == int(FlowDecision::Accept));
+    BOOST_TEST(decide(0, 51, true) == int(FlowDecision::Busy));
+}
+
+// Guards against requests of the agent's earlier run that are forgotten: the server reports them.
+BOOST_AUTO_TEST_CASE(inheritedRequestsCount)
+{
+    Load load({ .slots = 8, .coldSlots = 4, .connections = 100, .requestDeadline = 10s });
+    ServerHealth health = load.health(ServerStatus::Serving);
+    health.inProgress = 3;
+    load.admission.onHealth(health, load.now);
+    BOOST_TEST(load.fill() == 1u);
+    load.now += 10s; // a stale report counts no longer than a request may last
+    load.admission.onTimer(load.now);
+    BOOST_TEST(load.fill() == 4u);
+}
+
+// Guards against requests that wait beyond their deadline, and against retransmissions that are
+// delivered twice from the queue.
+BOOST_AUTO_TEST_CASE(queueHoldsDeadlinesAndOrder)
+{
+    RequestQueue queue;
+    const TimePoint now{ 1000s };
+    const std::uint8_t payload[] = { 'x' };
+    const auto packet = [&](std::uint16_t port, std::uint32_t sequence) {
+        return buildPacket({ .key = { { 1, port }, { 2, 80 }, Protocol::Tcp },
+                             .sequence = sequence,
+                             .flags = tcpflag::ack,
+                             .payload = payload });
+    };
+    const auto push = [&](std::uint16_t port, std::uint32_t sequence, Duration wait) {
+        const auto bytes = packet(port, sequence);
+        return queue.push(*parsePacket(bytes), now + wait);
+    };
+    BOOST_TEST(push(1, 10, 5s));
+    BOOST_TEST(push(2, 10, 1s));
+    BOOST_TEST(push(1, 11, 9s)); // the first packet's deadline holds
+    BOOST_TEST(push(1, 10, 9s)); // retransmission
+    BOOST_TEST(queue.front()->source.port == 1);
+    std::vector<std::uint16_t> expired;
+    const auto note = [&](const FlowKey &key) { expired.push_back(key.source.port); };
+    queue.expire(now + 1s, note);
+    BOOST_TEST(expired == std::vector<std::uint16_t>{ 2 }, boost::test_tools::per_element());
+    BOOST_TEST(queue.take(*queue.front()).size() == 2u);
+    BOOST_TEST(push(3, 10, 5s));
+    queue.expire(now + 5s, note);
+    BOOST_TEST(queue.size() == 0u);
+    BOOST_TEST((queue.front() == nullptr));
+    std::size_t held = 0;
+    for (std::uint16_t port = 1; port <= 2000; ++port)
+        held += push(port, 1, 1s) ? 1 : 0;
+    BOOST_TEST(held == RequestQueue::maxFlows);
+}
+
+// Guards against tables that change with every measurement.
+BOOST_AUTO_TEST_CASE(weightChangesRarely)
+{
+    CapacityWeight weight;
+    LatencyBaseline baseline;
+    TimePoint now{ 1000s };
+    BOOST_TEST(weight.update(5, baseline, now).has_value());
+    const std::uint16_t first = weight.value();
+    for (int i = 0; i < 200; ++i)
+        baseline.add(25ms);
+    BOOST_TEST(!weight.update(5, baseline, now + 29s));
+    BOOST_TEST(weight.update(5, baseline, now + 30s).has_value());
+    BOOST_TEST(double(weight.value()) / first == 4.0, boost::test_tools::tolerance(0.15));
+    for (int i = 0; i < 200; ++i)
+        baseline.add(27ms);
+    BOOST_TEST(!weight.update(5, baseline, now + 90s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/core/agent.cpp
+++ b/core/agent.cpp
@@ -114,9 +114,6 @@
     if (isFirst && this->state.options.serverMayHoldFlows)
         this->state.probes.open(this->startedAt + this->state.services.longestIdleTimeout());
     this->announcer.setConfiguration(configuration->version(), now, outbox);
-    addEvent(outbox, Level::Info, "configuration_applied",
-             { { "version", std::to_string(configuration->version()) },
-               { "services", std::to_string(this->state.services.all().size()) } });
     this->applyZone(configuration->isZoneOut(this->state.options.zone), now, outbox);
 }
 
@@ -156,7 +153,8 @@
     this->nextVersion = now + versionInterval;
     const bool isNamedByMonitor = this->announcer.newestConfiguration() == seen;
     Outbox messages;
-    this->spread.setPeers(this->announcer.monitors());
+    const std::vector<Endpoint> monitors = this->announcer.monitors();
+    this->spread.setPeers(monitors.empty() ? this->state.options.seeds : monitors);
     this->spread.onVersionSeen(
             seen, isNamedByMonitor ? this->announcer.newestConfigurationFrom() : Endpoint{}, now,
             messages);
--- a/core/callerpath.cpp
+++ b/core/callerpath.cpp
@@ -61,6 +61,12 @@
 
 void CallerPath::onAccepted(const Context &context, Flow &flow)
 {
+    if (flow.isQueued && context.view.has(tcpflag::rst)) {
+        // The caller's reset follows payload that the server doesn't have, so the server would
+        // answer it with a challenge ACK.
+        this->resetServerSide(flow, context.now, context.sink);
+        return;
+    }
     // A reset without acknowledgement number may mean another agent's half-open connection for the
     // same SYN as well. The caller has neither.
     const bool isAmbiguous =
