--- /dev/null
+++ b/node/datasocket_test.cpp
@@ -0,0 +1,122 @@
+#include "node/datasocket.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <poll.h>
+
+#include "node/outcome.h"
+
+using namespace cactusdeck;
+
+namespace {
+
+DataSocket bindLoopback()
+{
+    auto socket = outcomeOf([] { return DataSocket::bind({ 0x7F000001, 0 }); });
+    BOOST_REQUIRE_MESSAGE(socket, socket.error.message);
+    return std::move(*socket.value);
+}
+
+// Waits for the next batch. Loopback delivers before sendmmsg returns, so the long limit is only
+// reached by a fault.
+std::size_t receiveSome(DataSocket &socket)
+{
+    pollfd descriptor{ socket.descriptor(), POLLIN, 0 };
+    poll(&descriptor, 1, 10000);
+    return socket.receive();
+}
+
+std::vector<std::uint8_t> bytesOf(std::size_t size, std::uint8_t value)
+{
+    return std::vector<std::uint8_t>(size, value);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(dataSocket)
+
+// Guards against batches that lose, mix or reorder datagrams, also when the batch overflows.
+BOOST_AUTO_TEST_CASE(batchRoundTrip)
+{
+    DataSocket sender = bindLoopback();
+    DataSocket receiver = bindLoopback();
+    constexpr std::size_t count = batchSize + 10;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto header = bytesOf(i % 3, 0xAA);
+        const auto packet = bytesOf(i + 1, std::uint8_t(i));
+        sender.queue(receiver.local(), header, packet, PacketLifetime::Temporary);
+    }
+    sender.flush();
+    BOOST_TEST(sender.takeCounts().sent == count);
+    std::size_t next = 0;
+    while (next < count) {
+        const std::size_t received = receiveSome(receiver);
+        BOOST_REQUIRE(received > 0u);
+        for (std::size_t i = 0; i < received; ++i, ++next) {
+            const Datagram datagram = receiver.datagram(i);
+            BOOST_TEST((datagram.from == sender.local()));
+            BOOST_TEST(datagram.bytes.size() == next % 3 + next + 1);
+            BOOST_TEST(datagram.bytes.back() == std::uint8_t(next));
+        }
+    }
+}
+
+// Guards against a forwarded packet that is copied or overwritten: it leaves from the receive
+// buffer, behind a new header.
+BOOST_AUTO_TEST_CASE(receivedPacketIsForwardedFromItsBuffer)
+{
+    DataSocket first = bindLoopback();
+    DataSocket middle = bindLoopback();
+    DataSocket last = bindLoopback();
+    first.queue(middle.local(), {}, bytesOf(1400, 7), PacketLifetime::Temporary);
+    first.flush();
+    BOOST_REQUIRE(receiveSome(middle) == 1u);
+    const auto packet = middle.datagram(0).bytes;
+    BOOST_TEST(middle.owns(packet));
+    BOOST_TEST(!first.owns(packet));
+    middle.queue(last.local(), bytesOf(60, 1), packet, PacketLifetime::Stable);
+    middle.flush();
+    BOOST_REQUIRE(receiveSome(last) == 1u);
+    const auto bytes = last.datagram(0).bytes;
+    BOOST_REQUIRE(bytes.size() == 1460u);
+    BOOST_TEST(bytes[59] == 1);
+    BOOST_TEST(bytes[60] == 7);
+}
+
+// Guards against a flush that stops at the first bad datagram and loses those behind it.
+BOOST_AUTO_TEST_CASE(refusedDatagramIsDroppedAlone)
+{
+    DataSocket sender = bindLoopback();
+    DataSocket receiver = bindLoopback();
+    sender.queue({ 0x7F000001, 0 }, {}, bytesOf(1, 1), PacketLifetime::Temporary);
+    sender.queue(receiver.local(), {}, bytesOf(1, 2), PacketLifetime::Temporary);
+    sender.queue(receiver.local(), {}, bytesOf(datagramCapacity + 1, 3), PacketLifetime::Temporary);
+    sender.flush();
+    const auto counts = sender.takeCounts();
+    BOOST_TEST(counts.sent == 1u);
+    BOOST_TEST(counts.dropped == 2u);
+    BOOST_REQUIRE(receiveSome(receiver) == 1u);
+    BOOST_TEST(receiver.datagram(0).bytes[0] == 2);
+}
+
+// Guards against a truncated packet that is handled as if it were whole.
+BOOST_AUTO_TEST_CASE(longDatagramIsMarkedAsTruncated)
+{
+    DataSocket sender = bindLoopback();
+    DataSocket receiver = bindLoopback();
+    sender.queue(receiver.local(), bytesOf(100, 1), bytesOf(datagramCapacity, 2),
+                 PacketLifetime::Temporary);
+    sender.flush();
+    BOOST_REQUIRE(receiveSome(receiver) == 1u);
+    BOOST_TEST(receiver.datagram(0).truncated);
+}
+
+BOOST_AUTO_TEST_CASE(occupiedEndpointIsNamed)
+{
+    const DataSocket socket = bindLoopback();
+    const auto second = outcomeOf([&] { return DataSocket::bind(socket.local()); });
+    BOOST_TEST((second.error.kind == ErrorKind::Io));
+    BOOST_TEST(second.error.message.find(toString(socket.local())) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/node/logging_test.cpp
@@ -0,0 +1,108 @@
+#include "node/logging.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+#include "node/outcome.h"
+
+using namespace cactusdeck;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> drained(EventLog &log)
+{
+    std::vector<std::string> lines;
+    log.drain([&](Level, const std::string &line) { lines.push_back(line); });
+    return lines;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(logging)
+
+// Guards against values that a reader of key=value lines would take for more keys or lines.
+BOOST_AUTO_TEST_CASE(valuesAreQuotedWhenNeeded)
+{
+    const Event event{ Level::Info,
+                       "placed",
+                       { { "agent", "agent-1" },
+                         { "reason", "home agent" },
+                         { "text", "a=\"b\\\"\nevent=forged\x01" },
+                         { "empty", "" } } };
+    BOOST_TEST(formatEvent(event)
+               == "event=placed agent=agent-1 reason=\"home agent\" "
+                  "text=\"a=\\\"b\\\\\\\"\\nevent=forged?\" empty=\"\"");
+}
+
+// Guards against a log that grows without bound, and against lines that vanish without notice.
+BOOST_AUTO_TEST_CASE(overflowIsCountedAndReportedOnce)
+{
+    Metrics metrics;
+    EventLog log({ .capacity = 3, .metrics = &metrics });
+    for (int i = 0; i < 8; ++i)
+        log.push({ Level::Info, "line", {} });
+    const auto lines = drained(log);
+    BOOST_REQUIRE(lines.size() == 4u);
+    BOOST_TEST(lines.back() == "event=log_dropped lines=5");
+    BOOST_TEST(metrics.count(Counter::LogLinesDropped) == 5u);
+    log.push({ Level::Info, "line", {} });
+    BOOST_TEST(drained(log).size() == 1u);
+}
+
+// Guards against a lost wake-up: after a drain the next line must wake the writer again.
+BOOST_AUTO_TEST_CASE(writerIsWokenOncePerFilledQueue)
+{
+    int wakes = 0;
+    EventLog log({ .wake = [&] { ++wakes; } });
+    log.push({ Level::Info, "a", {} });
+    log.push({ Level::Info, "b", {} });
+    BOOST_TEST(wakes == 1);
+    drained(log);
+    log.push({ Level::Info, "c", {} });
+    BOOST_TEST(wakes == 2);
+}
+
+BOOST_AUTO_TEST_CASE(lowerLevelsAreDiscarded)
+{
+    EventLog log({ .level = Level::Warning });
+    log.push({ Level::Info, "a", {} });
+    log.push({ Level::Error, "b", {} });
+    BOOST_TEST(drained(log) == std::vector<std::string>{ "event=b" },
+               boost::test_tools::per_element());
+}
+
+// Guards against a log flooded by anybody who sends junk to a port.
+BOOST_AUTO_TEST_CASE(rateLimitCountsWhatItSuppresses)
+{
+    RateLimit limit(1s);
+    const TimePoint start{};
+    std::uint64_t suppressed = 99;
+    BOOST_TEST(limit.isAllowed(start, suppressed));
+    BOOST_TEST(suppressed == 0u);
+    BOOST_TEST(!limit.isAllowed(start + 1ms, suppressed));
+    BOOST_TEST(!limit.isAllowed(start + 999ms, suppressed));
+    BOOST_TEST(limit.isAllowed(start + 1s, suppressed));
+    BOOST_TEST(suppressed == 2u);
+}
+
+// Guards against a target setting without effect, and against lines that stay in a buffer.
+BOOST_AUTO_TEST_CASE(linesReachTheFile)
+{
+    const std::string file = "/tmp/cactusdeck_logging_test_" + std::to_string(getpid()) + ".log";
+    BOOST_REQUIRE(outcomeOf([&] { return configureLogging({ .target = file }); }));
+    writeLogLine(Level::Warning, "event=test value=%d");
+    std::ifstream stream(file);
+    std::string line;
+    std::getline(stream, line);
+    std::remove(file.c_str());
+    BOOST_TEST(line.ends_with(" WARNING event=test value=%d"));
+    BOOST_REQUIRE(outcomeOf([&] { return configureLogging({}); }));
+    const auto bad = outcomeOf([] { return configureLogging({ .target = "/nonexistent/x" }); });
+    BOOST_TEST((bad.error.kind == ErrorKind::Io));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/node/settings.cpp
+++ b/node/settings.cpp
@@ -4,14 +4,9 @@
 #include <cerrno>
 #include <cstring>
 #include <fstream>
-#include <optional>
 #include <sstream>
 
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validator.hpp>
-
+#include "core/jsonschema.h"
 #include "node/settingsschema.h"
 
 namespace cactusdeck {
@@ -22,128 +17,37 @@
 
 constexpr std::array<std::string_view, 4> levelNames = { "debug", "info", "warning", "error" };
 
-struct Problem
-{
-    std::string path;
-    std::string got;
-    std::string expected;
-};
-
-leaf::error_id failSettings(const std::string &file, const Problem &problem)
-{
-    return fail(ErrorKind::InvalidSettings, file + ": " + problem.path + ": expected "
-                                                    + problem.expected + ", got " + problem.got);
-}
-
-std::string joinKeys(const json &object)
-{
-    std::string text;
-    for (const auto &item : object.items())
-        text += (text.empty() ? "" : ", ") + item.key();
-    return text;
-}
-
-// The first unknown or missing key of an object.
-std::optional<Problem> findKeyProblem(const json &schema, const json &value,
-                                      const std::string &path)
-{
-    if (!value.is_object() || !schema.contains("properties"))
-        return std::nullopt;
-    for (const auto &item : value.items()) {
-        if (!schema["properties"].contains(item.key()))
-            return Problem{ path + "/" + item.key(), "an unknown key",
-                            "one of the keys " + joinKeys(schema["properties"]) };
-    }
-    for (const auto &key : schema.value("required", json::array())) {
-        if (!value.contains(key.get<std::string>()))
-            return Problem{
-                path + "/" + key.get<std::string>(), "nothing",
-                schema["properties"][key.get<std::string>()]["description"].get<std::string>()
-            };
-    }
-    return std::nullopt;
-}
-
-// Follows a path that the validator reported, "<root>", "[log]", "[level]", to the value.
-Problem problemAt(const json &schema, const json &document, const std::vector<std::string> &context,
-                  const std::string &fallback)
-{
-    const json *rule = &schema;
-    const json *value = &document;
-    std::string path;
-    for (std::size_t i = 1; i < context.size(); ++i) {
-        const std::string key = context[i].substr(1, context[i].size() - 2);
-        path += "/" + key;
-        if (value->is_array()) {
-            value = &value->at(std::stoul(key));
-            rule = &rule->at("items");
-        } else {
-            value = &value->at(key);
-            rule = &rule->at("properties").at(key);
-        }
-    }
-    if (auto problem = findKeyProblem(*rule, *value, path))
-        return *problem;
-    return { path.empty() ? "/" : path, value->dump(), rule->value("description", fallback) };
-}
-
-std::optional<Problem> validate(const json &schemaDocument, const json &document)
-{
-    valijson::Schema schema;
-    valijson::SchemaParser parser;
-    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaDocument), schema);
-    valijson::Validator validator;
-    valijson::ValidationResults results;
-    if (validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(document), &results))
-        return std::nullopt;
-    // The validator reports the innermost fault and then every object around it.
-    valijson::ValidationResults::Error deepest;
-    valijson::ValidationResults::Error error;
-    while (results.popError(error)) {
-        if (error.context.size() > deepest.context.size())
-            deepest = error;
-    }
-    return problemAt(schemaDocument, document, deepest.context, deepest.description);
-}
-
-// Endpoints whose text matches the schema's pattern but that are not usable.
-std::optional<Problem> findBadEndpoint(const json &schema, const json &value,
-                                       const std::string &path)
+// Endpoints whose text matches the schema's pattern but that can't be used.
+void checkEndpoints(const JsonSchema &schema, const json &value, const json::json_pointer &path,
+                    JsonFaults &faults)
 {
     if (value.is_structured()) {
-        for (const auto &item : value.items()) {
-            const json &rule =
-                    value.is_array() ? schema.at("items") : schema.at("properties").at(item.key());
-            if (auto problem = findBadEndpoint(rule, item.value(), path + "/" + item.key()))
-                return problem;
-        }
-        return std::nullopt;
+        for (const auto &item : value.items())
+            checkEndpoints(schema, item.value(), path / item.key(), faults);
+        return;
     }
+    const std::string expected = schema.expectedAt(path);
     Endpoint endpoint;
-    if (!schema.contains("pattern")
-        || (parseEndpoint(value.get<std::string>(), endpoint) && endpoint.port != 0))
-        return std::nullopt;
-    return Problem{ path, value.dump(), schema.value("description", "an endpoint") };
+    const bool isEndpoint = expected.starts_with("an IPv4 endpoint");
+    if (isEndpoint && (!parseEndpoint(value.get<std::string>(), endpoint) || endpoint.port == 0))
+        faults.add(path.to_string(), value, expected);
 }
 
 Result<json> parseDocument(std::string_view text, const std::string &file,
                            std::string_view schemaText)
 {
-    json document;
-    try {
-        document = json::parse(text, nullptr, true, true);
-    } catch (const json::parse_error &error) {
-        return fail(ErrorKind::InvalidSettings,
-                    file + ": expected JSON with comments: " + error.what());
-    }
-    const json schema = json::parse(schemaText);
-    if (const auto problem = validate(schema, document))
-        return failSettings(file, *problem);
-    if (const auto problem = findBadEndpoint(schema, document, ""))
-        return failSettings(file, *problem);
-    if (document["data"] == document["control"])
-        return failSettings(file, { "/control", document["control"].dump(),
-                                    "an endpoint other than data, since both are UDP" });
+    const JsonSchema schema(schemaText);
+    JsonFaults faults(file);
+    json document = parseJsonFile(text, faults);
+    if (faults.isEmpty())
+        schema.check(document, faults);
+    if (faults.isEmpty())
+        checkEndpoints(schema, document, json::json_pointer(), faults);
+    if (faults.isEmpty() && document["data"] == document["control"])
+        faults.add("/control", document["control"],
+                   "an endpoint other than data, since both are UDP");
+    if (!faults.isEmpty())
+        return faults.error(ErrorKind::InvalidSettings);
     return document;
 }
 
--- a/node/settings.h
+++ b/node/settings.h
@@ -14,7 +14,7 @@
 //     BOOST_LEAF_AUTO(settings, loadBalancerSettings("balancer.json"));
 //
 // Errors are of kind InvalidSettings (Io if the file can't be read) and name the file, the path in
-// it, the value and what was expected. Unknown keys are errors.
+// it, the value and what was expected, one line for each fault. Unknown keys are errors.
 
 namespace cactusdeck {
 
