Add membership, gossip, control budget, monitor and announcer

Cause: the balancer and the agent need one view of who is there, bounded control traffic, and a failure detector that is not misled by pauses, loss and partitions.

Change: Membership keeps records with final deaths per incarnation, tombstones and the mass-loss rule; GossipSpread pushes changes and repairs by 16 shards of 32 cells; ControlBudget is a token bucket with six priorities and own shares for the lower four; Monitor probes before it suspects; Announcer is the agent's side. ReportTable keeps the newest holdings reports.

DigestExchange carries joining and size, so that a joiner is not asked for what it lacks and knows when it has nearly everything.

--- a/core/announcer.h
+++ b/core/announcer.h
@@ -37,7 +37,7 @@
     std::uint64_t seed = 0;
     Duration heartbeatInterval = std::chrono::seconds(1);
     Duration resendAfter = std::chrono::milliseconds(250);
-    Duration seedAfter = std::chrono::milliseconds(1500); // without an answer of any monitor
+    Duration seedAfter = std::chrono::milliseconds(2000); // without an answer of any monitor
     Duration isolatedAfter = std::chrono::seconds(3);
     int leaveCopies = 4; // of the Left record to each monitor, resendAfter apart
 };
@@ -100,6 +100,7 @@
         TableDigest digest = 0;
         bool known = false;
         TimePoint nextRequest{};
+        Duration requestDelay{}; // doubled while the monitors do not answer
         TableDigest partialDigest = 0; // of the list that is being received in pieces
         std::map<std::uint16_t, std::vector<Member>> pieces;
     };
@@ -110,6 +111,7 @@
     void compareDigests(const HeartbeatAck &ack, TimePoint now, Outbox &outbox);
     void refute(Incarnation incarnation, TimePoint now, Outbox &outbox);
     void announceChange(TimePoint now, Outbox &outbox);
+    void heartbeat(MonitorState &monitor, TimePoint now, Outbox &outbox);
     void sendHeartbeat(Endpoint to, TimePoint now, Outbox &outbox);
     void sendReports(MonitorState &monitor, TimePoint now, Outbox &outbox);
     void heartbeatSeeds(TimePoint now, Outbox &outbox);
@@ -130,6 +132,7 @@
     ConfigurationVersion newest = 0;
     Endpoint newestFrom;
     int leaveCopiesLeft = 0;
+    TimePoint nextLeave{};
     bool leaveAcknowledged = false;
 };
 
--- /dev/null
+++ b/core/controlbudget.cpp
@@ -0,0 +1,197 @@
+#include "core/controlbudget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cactusdeck {
+
+namespace {
+
+// A full bucket plus the refill of 10 s is 10 s of the allowed rate: 2 + 10 x 0.8 = 10.
+constexpr double burstSeconds = 2.0;
+constexpr double refillShare = 0.8;
+
+// Share of the rate that a priority has for itself. A datagram fits into the shares of Changes and
+// Repair at 4 KB/s.
+constexpr std::array<double, controlPriorities> ownShares = { 0.0, 0.0, 0.08, 0.24, 0.2, 0.16 };
+constexpr double generalShare = 0.32;
+
+// Part of the general bucket that a priority leaves to more urgent ones.
+constexpr std::array<double, controlPriorities> reserves = { 0.0, 0.1, 0.2, 0.25, 0.3, 0.4 };
+
+constexpr std::size_t indexOf(ControlPriority priority)
+{
+    return std::size_t(priority);
+}
+
+// True if the newer of two messages to the same node makes the older one useless.
+bool supersedes(const ControlMessage &newer, const ControlMessage &older)
+{
+    if (newer.index() != older.index())
+        return false;
+    if (const auto *members = std::get_if<Members>(&newer)) {
+        const auto &old = std::get<Members>(older);
+        return members->service == old.service && members->piece == old.piece;
+    }
+    return std::holds_alternative<Heartbeat>(newer) || std::holds_alternative<HeartbeatAck>(newer)
+           || std::holds_alternative<DigestExchange>(newer)
+           || std::holds_alternative<ShardRequest>(newer)
+           || std::holds_alternative<ConfigurationNotice>(newer);
+}
+
+} // namespace
+
+ControlBudget::ControlBudget(ControlBudgetOptions options)
+    : capacity(burstSeconds * double(options.bytesPerSecond))
+    , rate(refillShare * double(options.bytesPerSecond))
+    , general(generalShare * this->capacity)
+    , own(ownShares)
+{
+    for (double &tokens : this->own)
+        tokens *= this->capacity;
+}
+
+bool ControlBudget::send(ControlPriority priority, Endpoint to, ControlMessage message,
+                         TimePoint now, Outbox &outbox)
+{
+    this->refill(now);
+    const std::size_t bytes = encodedSize(message);
+    if (this->fits(priority, bytes, now) && this->take(priority, bytes)) {
+        outbox.send(to, std::move(message));
+        return true;
+    }
+    this->defer(priority, { to, std::move(message), bytes });
+    return false;
+}
+
+bool ControlBudget::fits(ControlPriority priority, std::size_t bytes, TimePoint now)
+{
+    this->refill(now);
+    // Deferred messages of the same priority go first.
+    return this->queues[indexOf(priority)].empty() && this->hasTokens(priority, bytes);
+}
+
+void ControlBudget::flush(TimePoint now, Outbox &outbox)
+{
+    this->refill(now);
+    for (std::size_t i = 0; i < controlPriorities; ++i) {
+        auto &queue = this->queues[i];
+        while (!queue.empty() && this->take(ControlPriority(i), queue.front().bytes)) {
+            this->queuedBytes[i] -= queue.front().bytes;
+            outbox.send(queue.front().to, std::move(queue.front().message));
+            queue.pop_front();
+        }
+    }
+}
+
+std::size_t ControlBudget::deferredMessages() const
+{
+    std::size_t count = 0;
+    for (const auto &queue : this->queues)
+        count += queue.size();
+    return count;
+}
+
+std::size_t ControlBudget::deferredBytes(ControlPriority priority) const
+{
+    return this->queuedBytes[indexOf(priority)];
+}
+
+void ControlBudget::refill(TimePoint now)
+{
+    if (now <= this->refilled)
+        return;
+    const double seconds = std::chrono::duration<double>(now - this->refilled).count();
+    this->refilled = now;
+    const double added = this->rate * seconds;
+    this->general += generalShare * added;
+    for (std::size_t i = 0; i < controlPriorities; ++i) {
+        this->own[i] += ownShares[i] * added;
+        const double overflow = std::max(0.0, this->own[i] - ownShares[i] * this->capacity);
+        this->own[i] -= overflow;
+        this->general += overflow;
+    }
+    this->general = std::min(this->general, generalShare * this->capacity);
+}
+
+// A message that is larger than the share waits until the share is complete.
+bool ControlBudget::ownFits(ControlPriority priority, std::size_t bytes) const
+{
+    const double share = ownShares[indexOf(priority)] * this->capacity;
+    return share > 0 && this->own[indexOf(priority)] >= std::min(double(bytes), share);
+}
+
+// A more urgent deferred message has the general tokens to itself.
+bool ControlBudget::isOvertaking(ControlPriority priority) const
+{
+    return std::any_of(this->queues.begin(), this->queues.begin() + std::ptrdiff_t(priority),
+                       [](const auto &queue) { return !queue.empty(); });
+}
+
+bool ControlBudget::hasTokens(ControlPriority priority, std::size_t bytes) const
+{
+    if (this->ownFits(priority, bytes))
+        return true;
+    if (this->isOvertaking(priority))
+        return false;
+    const double full = generalShare * this->capacity;
+    const double reserve = reserves[indexOf(priority)] * full;
+    if (this->borrows(priority) && this->general + this->borrowable() - reserve >= double(bytes))
+        return true;
+    if (this->general - double(bytes) >= reserve)
+        return true;
+    // Larger than what the priority may use: waits for a full bucket.
+    return double(bytes) > full - reserve && this->general >= full;
+}
+
+bool ControlBudget::borrows(ControlPriority priority)
+{
+    return priority == ControlPriority::Configuration || priority == ControlPriority::Deaths;
+}
+
+double ControlBudget::borrowable() const
+{
+    return this->own[indexOf(ControlPriority::Repair)]
+           + this->own[indexOf(ControlPriority::Changes)];
+}
+
+bool ControlBudget::take(ControlPriority priority, std::size_t bytes)
+{
+    if (!this->hasTokens(priority, bytes))
+        return false;
+    this->sent += bytes;
+    double &ownTokens = this->own[indexOf(priority)];
+    if (this->ownFits(priority, bytes)) {
+        ownTokens -= double(bytes);
+        return true;
+    }
+    double rest = double(bytes);
+    for (const ControlPriority lender : { ControlPriority::Repair, ControlPriority::Changes }) {
+        if (!this->borrows(priority))
+            break;
+        double &tokens = this->own[indexOf(lender)];
+        const double part = std::min(rest, tokens);
+        tokens -= part;
+        rest -= part;
+    }
+    this->general -= rest;
+    return true;
+}
+
+void ControlBudget::defer(ControlPriority priority, Deferred deferred)
+{
+    auto &queue = this->queues[indexOf(priority)];
+    std::size_t &bytes = this->queuedBytes[indexOf(priority)];
+    bytes += deferred.bytes;
+    const auto older = std::find_if(queue.begin(), queue.end(), [&](const Deferred &other) {
+        return other.to == deferred.to && supersedes(deferred.message, other.message);
+    });
+    if (older != queue.end()) {
+        bytes -= older->bytes;
+        *older = std::move(deferred);
+        return;
+    }
+    queue.push_back(std::move(deferred));
+}
+
+} // namespace cactusdeck
--- a/core/controlbudget.h
+++ b/core/controlbudget.h
@@ -16,16 +16,17 @@
 //
 // A message that does not fit is deferred, and sent as soon as there are tokens, in order of
 // priority. A deferred message is replaced by a newer one of the same kind to the same node if that
-// supersedes it (heartbeats, acknowledgements, probes, notices).
+// supersedes it (heartbeats, acknowledgements, digests, notices, member lists).
 //
 // Over any 10 s the bytes sent are at most 10 s x bytesPerSecond, unless one message alone is
 // larger than the burst; that one is sent from a full bucket and leaves a debt. Sizes are those of
 // the CBOR encoding, without UDP and IP headers.
 //
 // Lower priorities leave a part of the bucket to higher ones, so that a death is never queued
-// behind a bulk transfer. Liveness messages (heartbeats, probes and their answers) also have a
-// share of their own that no other priority can use up: without it, a burst of deaths would delay
-// probes and cause false suspicions.
+// behind a bulk transfer. The four lower priorities also have a share of their own. Without it, a
+// burst of deaths would delay probes and cause false suspicions, probes of many nodes would keep
+// tables from agreeing, and a burst of changes would keep joiners out. What they don't use goes to
+// the others; Configuration and Deaths also take from the shares of Changes and Repair.
 
 namespace cactusdeck {
 
@@ -33,11 +34,12 @@
 enum class ControlPriority : std::uint8_t {
     Configuration, // configuration and zone changes
     Deaths, // dead and leaving nodes
-    Liveness, // heartbeats, probes, answers
-    Changes, // other changes, member lists, holdings
-    Repair, // digests, shards for joiners
+    Probes, // probes, digests, requests for shards, and answers; few and small
+    Heartbeats, // heartbeats and their answers
+    Changes, // other changes of records and holdings
+    Repair, // records for joiners and repair, member lists: answers to requests that are repeated
 };
-inline constexpr std::size_t controlPriorities = 5;
+inline constexpr std::size_t controlPriorities = 6;
 
 struct ControlBudgetOptions
 {
@@ -71,6 +73,10 @@
     };
 
     void refill(TimePoint now);
+    static bool borrows(ControlPriority priority);
+    double borrowable() const;
+    bool ownFits(ControlPriority priority, std::size_t bytes) const;
+    bool isOvertaking(ControlPriority priority) const;
     bool take(ControlPriority priority, std::size_t bytes);
     bool hasTokens(ControlPriority priority, std::size_t bytes) const;
     void defer(ControlPriority priority, Deferred deferred);
@@ -78,7 +84,7 @@
     double capacity; // bytes; of both buckets together
     double rate; // bytes per second; of both buckets together
     double general; // tokens of all priorities
-    double liveness; // tokens of ControlPriority::Liveness alone
+    std::array<double, controlPriorities> own; // tokens of one priority alone
     TimePoint refilled{};
     std::array<std::deque<Deferred>, controlPriorities> queues;
     std::array<std::size_t, controlPriorities> queuedBytes{};
--- a/core/gossip.h
+++ b/core/gossip.h
@@ -1,23 +1,23 @@
 #ifndef CACTUSDECK_CORE_GOSSIP_H
 #define CACTUSDECK_CORE_GOSSIP_H
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <random>
+#include <span>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "core/controlbudget.h"
 #include "core/membership.h"
+#include "core/reporttable.h"
 
 // Spreads changes of membership and holdings among balancers, and repairs differences.
 //
 //     GossipSpread gossip({ .seeds = seeds, .seed = 1 }, membership, budget);
 //     gossip.start(now, outbox);                           // asks a seed for everything
 //     gossip.onControl(message, now, outbox);              // Gossip, DigestExchange, ShardRequest
-//     gossip.report(holdingsReport, now);                  // from an agent
+//     gossip.report(holdingsReport);                       // from an agent
 //     gossip.onTimer(now, outbox);
 //     for (HoldingsReport &report : gossip.takeHoldings()) // newly learned, for the index
 //         ...
@@ -40,14 +40,13 @@
     std::size_t fanout = 3; // peers per round
     double copies = 3.0; // copies of a change in units of log2(balancers)
     Duration digestInterval = std::chrono::seconds(5);
-    Duration joinRetry = std::chrono::milliseconds(250); // doubled up to digestInterval
-    std::size_t repairDatagrams = 8; // per ShardRequest
+    Duration busyInterval = std::chrono::seconds(1); // while most shards differ
+    Duration joinRetry = std::chrono::milliseconds(250); // doubled without answer, up to 5 s
+    // A balancer that none of its seeds answers for this long is taken to be the first one.
+    Duration joinLimit = std::chrono::seconds(10);
+    std::size_t repairDatagrams = 4; // per ShardRequest
 };
 
-// Identifies the newest report of an agent for a service; XOR over services gives the digest that
-// travels in HeartbeatAck.
-std::uint32_t reportDigest(const HoldingsReport &report);
-
 class GossipSpread
 {
 public:
@@ -61,53 +60,61 @@
     // Sends what is pending without waiting for the next round, for a node that stops.
     void pushNow(TimePoint now, Outbox &outbox);
 
-    // A report from an agent itself; older ones than the known are ignored.
+    // A report from an agent itself; ignored if older than the known one or from an unknown agent.
+    // Reports of an earlier incarnation than the agent's record are dropped, and the owner's index
+    // has to do the same.
     void report(const HoldingsReport &report);
     // Reports learned since the last call.
-    std::vector<HoldingsReport> takeHoldings();
-    // XOR of reportDigest over the known reports of the agent.
-    std::uint32_t holdingsDigest(const NodeId &agent) const;
+    std::vector<HoldingsReport> takeHoldings() { return this->holdings.takeLearned(); }
+    // Digest of the agent's known reports, for HeartbeatAck.
+    std::uint32_t holdingsDigest(const NodeId &agent) const
+    {
+        return this->holdings.digestOf(agent);
+    }
 
     // Newest configuration of this node, named in outgoing messages.
     void setConfiguration(ConfigurationVersion version) { this->configuration = version; }
-    // True once the table agrees with that of another balancer, or if there is no other balancer
-    // among the seeds. Until then a balancer should take no packets.
+    // True once the table agreed with that of another balancer, or had nearly all of its nodes, or
+    // no seed answered for joinLimit, or there is no other seed. Until then a balancer should take
+    // no packets.
     bool isJoined() const { return this->joined; }
     std::size_t pendingChanges() const { return this->records.size() + this->reports.size(); }
 
 private:
-    using ReportKey = std::pair<NodeId, ServiceId>;
     struct Item // one pending change in a datagram
     {
-        bool death = false;
+        int urgency = 0; // see urgencyOf
         int sent = 0;
         std::size_t bytes = 0;
         const NodeRecord *record = nullptr;
         const HoldingsReport *report = nullptr;
     };
 
+    Gossip emptyGossip() const;
     int copyLimit() const;
-    void collectChanges();
-    void merge(const Gossip &gossip, TimePoint now, Outbox &outbox);
+    void collectChanges(int copiesSent);
+    void onGossip(const Gossip &gossip, TimePoint now, Outbox &outbox);
+    void mergeRecord(const NodeRecord &record, TimePoint now);
     bool mergeReport(const HoldingsReport &report);
-    void dropReports(const NodeId &agent);
     void push(TimePoint now, Outbox &outbox);
-    std::vector<Item> pendingItems();
-    std::size_t fill(Gossip &gossip, std::vector<Item> &items, std::size_t room);
-    void countSent(const Gossip &gossip);
+    bool pushTo(const std::vector<Endpoint> &peers, bool deathsOnly, TimePoint now, Outbox &outbox);
+    std::vector<Item> pendingItems(bool deathsOnly);
+    Gossip fill(std::span<const Item> items) const;
+    void countSent(const Gossip &gossip, int copies);
     std::vector<Endpoint> choosePeers(std::size_t count);
     std::vector<std::uint32_t> shardDigests() const;
     std::uint32_t cellDigest(std::size_t cell) const;
     void onDigests(const DigestExchange &digests, TimePoint now, Outbox &outbox);
-    void requestShards(const std::vector<std::uint8_t> &shards, Endpoint from, TimePoint now,
+    void tellSender(const NodeId &id, Endpoint control, TimePoint now, Outbox &outbox);
+    void requestShards(std::vector<std::uint8_t> shards, Endpoint from, TimePoint now,
                        Outbox &outbox);
+    ShardCells cellsOf(std::uint8_t shard) const;
     void onShardRequest(const ShardRequest &request, TimePoint now, Outbox &outbox);
     std::vector<std::size_t> differingCells(const ShardRequest &request) const;
-    void sendCells(const std::vector<std::size_t> &cells, Endpoint to, TimePoint now,
-                   Outbox &outbox);
+    void sendCells(std::vector<std::size_t> cells, Endpoint to, TimePoint now, Outbox &outbox);
     void exchangeDigests(Endpoint with, bool answer, TimePoint now, Outbox &outbox);
-    Endpoint chooseExchangePeer();
-    void join(TimePoint now, Outbox &outbox);
+    std::vector<Endpoint> exchangePeers();
+    void exchange(TimePoint now, Outbox &outbox);
 
     GossipOptions options;
     Membership &membership;
@@ -115,13 +122,12 @@
     std::mt19937_64 random;
     ConfigurationVersion configuration = 0;
     std::unordered_map<NodeId, int> records; // pending changes: copies sent
-    std::map<ReportKey, int> reports;
-    std::map<ReportKey, HoldingsReport> holdings;
-    std::array<std::uint32_t, cellCount> reportDigests{};
-    std::vector<ReportKey> learned;
+    std::map<ReportTable::Key, int> reports; // likewise
+    ReportTable holdings;
     bool joined = false;
     std::uint64_t exchanges = 0;
     Duration joinDelay{};
+    TimePoint joinLimit{};
     TimePoint nextRound{};
     TimePoint nextExchange{};
 };
--- a/core/membership.h
+++ b/core/membership.h
@@ -57,11 +57,13 @@
 {
 public:
     explicit Membership(MembershipOptions options);
+    Membership(const Membership &) = delete;
+    Membership &operator=(const Membership &) = delete;
 
     const NodeRecord &self() const { return *this->selfRecord; }
     // Changes what the node says of itself; the sequence rises if anything but the configuration
     // changed. Id, role, incarnation and sequence of the argument are ignored.
-    void announceSelf(NodeRecord record, TimePoint now);
+    void announceSelf(NodeRecord record);
 
     // Returns true if the table changed. A suspicion or death of the node itself is refuted.
     bool merge(const NodeRecord &record, TimePoint now);
@@ -85,6 +87,7 @@
     std::vector<const NodeRecord *> records() const;
     // Balancers that take duties, this node included, sorted by id: alive ones, and suspect ones
     // during a mass loss.
+    // The reference is valid until the next call.
     const std::vector<const NodeRecord *> &aliveBalancers() const;
     // Alive and suspect balancers except this node, sorted by id.
     std::vector<const NodeRecord *> peers() const;
@@ -93,7 +96,7 @@
     // Alive and suspect agents of the groups, sorted by id.
     std::vector<const NodeRecord *> agentsOf(std::span<const GroupName> groups) const;
     std::vector<const NodeRecord *> agents() const;
-    // Alive and suspect nodes.
+    // Number of alive and suspect nodes.
     std::size_t size() const { return this->present; }
 
     // True if new work may go to the node: alive, or suspect during a mass loss.
@@ -108,18 +111,23 @@
     // Hash over the alive and suspect records of each cell; equal tables have equal digests.
     const std::array<std::uint32_t, cellCount> &cellDigests() const { return this->digests; }
     // Records of a cell, tombstones included.
-    std::vector<const NodeRecord *> recordsOfCell(std::size_t cell) const;
+    const std::vector<const NodeRecord *> &recordsOfCell(std::size_t cell) const
+    {
+        return this->cells[cell];
+    }
 
 private:
+    using Records = std::vector<const NodeRecord *>;
     struct Entry
     {
         NodeRecord record;
         TimePoint since; // of the present liveness
     };
-    // Nodes that are lost together: the agents of a group, or all balancers (empty name).
+    // Nodes that are lost together: the agents of a group, or all balancers.
     struct Population
     {
-        std::vector<NodeId> present; // alive and suspect, sorted
+        Records present; // alive and suspect, sorted by id
+        std::size_t suspects = 0;
         bool massLoss = false;
         TimePoint massLossSince;
     };
@@ -129,30 +137,34 @@
         TimePoint since;
     };
 
-    bool refute(const NodeRecord &record, TimePoint now);
-    bool store(const NodeRecord &record, TimePoint now);
-    void index(const NodeRecord &record, bool add);
-    void noteChange(const NodeRecord *before, const NodeRecord &after);
-    void updateMassLoss(Population &population, bool balancers, TimePoint now);
+    bool refute(const NodeRecord &record);
+    void store(const NodeRecord &record, TimePoint now);
+    void index(const NodeRecord &record);
+    void unindex(const NodeRecord &record);
+    void bumpGeneration(Role role);
+    bool changeLiveness(const NodeId &id, Liveness from, Liveness to, TimePoint now);
+    void updateMassLoss(Population &population, Role role, TimePoint now);
+    std::size_t recentSuspects(const Population &population, TimePoint now) const;
     void retireTombstones(TimePoint now);
-    const Population *populationOf(const NodeRecord &record) const;
-    std::vector<const NodeRecord *> pointers(const std::vector<NodeId> &ids) const;
+    Population &populationOf(const NodeRecord &record);
+    const Population *findPopulation(const NodeRecord &record) const;
 
     MembershipOptions options;
     std::unordered_map<NodeId, Entry> entries;
-    const NodeRecord *selfRecord = nullptr;
+    NodeRecord *selfRecord = nullptr;
     Population balancers;
     std::map<GroupName, Population> groups;
     std::unordered_map<Endpoint, NodeId> byData;
-    std::array<std::vector<NodeId>, cellCount> cells;
+    std::array<Records, cellCount> cells; // tombstones included
     std::array<std::uint32_t, cellCount> digests{};
     std::unordered_map<std::uint64_t, Retired> retired; // by hash of the id
     std::vector<NodeId> changes;
     std::uint64_t agentGeneration = 1;
     std::uint64_t peerGeneration = 1;
     std::size_t present = 0;
+    TimePoint nextUpkeep{};
     TimePoint nextRetirement{};
-    mutable std::vector<const NodeRecord *> aliveCache;
+    mutable Records aliveCache;
     mutable std::uint64_t aliveCacheGeneration = 0;
 };
 
--- a/core/message.cpp
+++ b/core/message.cpp
@@ -31,7 +31,8 @@
 CACTUSDECK_FIELDS(HoldingsReport, m.agent, m.incarnation, m.sequence, m.service, m.digest,
                   m.buckets)
 CACTUSDECK_FIELDS(Gossip, m.from, m.configuration, m.repair, m.records, m.holdings)
-CACTUSDECK_FIELDS(DigestExchange, m.from, m.replyTo, m.configuration, m.shards, m.answer)
+CACTUSDECK_FIELDS(DigestExchange, m.from, m.replyTo, m.configuration, m.shards, m.answer, m.joining,
+                  m.size)
 CACTUSDECK_FIELDS(ShardCells, m.shard, m.cells)
 CACTUSDECK_FIELDS(ShardRequest, m.replyTo, m.shards)
 CACTUSDECK_FIELDS(Probe, m.from, m.replyTo, m.number, m.configuration, m.relayTo)
--- a/core/message.h
+++ b/core/message.h
@@ -138,6 +138,8 @@
     ConfigurationVersion configuration = 0;
     std::vector<std::uint32_t> shards;
     bool answer = false; // true: sent back, must not be answered again
+    bool joining = false; // the sender has little to offer yet
+    std::uint32_t size = 0; // alive and suspect nodes that the sender knows
 };
 
 // The requester's digest of each cell of a shard; empty if it has no records there.
--- /dev/null
+++ b/core/monitor.cpp
@@ -0,0 +1,471 @@
+#include "core/monitor.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "core/placement.h"
+
+namespace cactusdeck {
+
+namespace {
+
+// Balancers that repeat a probe for this one.
+constexpr std::size_t probeRelays = 2;
+constexpr std::chrono::seconds relayLifetime{ 3 };
+
+// Probe numbers of relays are marked, so that they can't be taken for this node's own.
+constexpr std::uint32_t relayMark = 0x8000'0000;
+
+// A suspect agent is probed at this interval; its answer makes this node tell it again.
+constexpr std::chrono::seconds suspectProbeInterval{ 1 };
+
+// Silence counts only if the node had the budget to ask so many times.
+constexpr int probesOfSuspicion = 3;
+
+// A probe has at most 60 bytes with the longest usual names.
+constexpr std::size_t probeBytes = 60;
+
+// Assignments are recomputed at most this often while the table changes.
+constexpr std::chrono::milliseconds assignmentInterval{ 250 };
+
+// With fewer others than this, their failure is as likely as this node's own.
+constexpr std::size_t othersOfCutOff = 3;
+constexpr std::chrono::seconds silenceOfCutOff{ 2 };
+// A probe is sent each second, and two of three may go to failed balancers.
+constexpr std::chrono::seconds noAnswerOfCutOff{ 5 };
+
+// Deferred bytes beyond which member lists wait, so that joining balancers are served first.
+constexpr std::size_t membersBacklog = 4 * 1024;
+
+// Members of about 25 bytes in a datagram, with room for longer names.
+constexpr std::size_t membersPerPiece = 30;
+
+std::uint64_t hashOf(const NodeId &id, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), seed);
+}
+
+Event nodeEvent(Level level, const char *name, const NodeRecord &record)
+{
+    return { level,
+             name,
+             { { "node", record.id.value },
+               { "zone", record.zone.value },
+               { "incarnation", std::to_string(record.incarnation) } } };
+}
+
+} // namespace
+
+Monitor::Monitor(MonitorOptions monitorOptions, MonitorSources monitorSources, Membership &table,
+                 ControlBudget &controlBudget)
+    : options(monitorOptions)
+    , sources(std::move(monitorSources))
+    , membership(table)
+    , budget(controlBudget)
+    , random(monitorOptions.seed)
+{ }
+
+void Monitor::onControl(const ControlMessage &message, TimePoint now, Outbox &outbox)
+{
+    this->lastHeard = now;
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message))
+        this->onHeartbeat(heartbeat->record, now, outbox);
+    else if (const auto *request = std::get_if<MembersRequest>(&message))
+        this->onMembersRequest(*request, now, outbox);
+    else if (const auto *probe = std::get_if<Probe>(&message))
+        this->onProbe(*probe, now, outbox);
+    else if (const auto *ack = std::get_if<ProbeAck>(&message))
+        this->onProbeAck(*ack, now, outbox);
+}
+
+void Monitor::onTimer(TimePoint now, Outbox &outbox)
+{
+    if (!this->sources.isJoined())
+        return;
+    if (!this->started) {
+        this->started = true;
+        this->lastHeard = now;
+        this->lastAnswer = now;
+        // Probes of nodes that start together are spread over the interval.
+        this->nextProbe = now + this->options.probeInterval * (this->random() % 64) / 64;
+    } else if (now - this->lastTimer > this->options.pauseThreshold) {
+        this->resumeAfterPause(now, outbox);
+    }
+    this->lastTimer = now;
+    this->updateAssignment(now);
+    this->watchAgents(now, outbox);
+    this->repeatProbes(now, outbox);
+    if (now >= this->nextProbe) {
+        this->nextProbe = std::max(this->nextProbe + this->options.probeInterval, now);
+        this->startProbe(now, outbox);
+    }
+    for (const NodeRecord *peer : this->membership.peers())
+        this->declareDead(*peer, now, outbox);
+    std::erase_if(this->relays, [&](const auto &item) { return item.second.expires <= now; });
+}
+
+// What this node missed while it was paused says nothing about others.
+void Monitor::resumeAfterPause(TimePoint now, Outbox &outbox)
+{
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastTimer);
+    outbox.events.push_back(
+            { Level::Warning, "paused", { { "milliseconds", std::to_string(pause.count()) } } });
+    for (auto &[id, watch] : this->watches)
+        watch.heard = std::max(watch.heard, now);
+    this->pending.clear();
+    this->membership.restartSuspicions(now);
+    this->lastHeard = now;
+    this->lastAnswer = now;
+}
+
+void Monitor::onHeartbeat(const NodeRecord &heartbeat, TimePoint now, Outbox &outbox)
+{
+    this->membership.merge(heartbeat, now);
+    this->noteHeard(heartbeat.id, now);
+    if (const auto watch = this->watches.find(heartbeat.id); watch != this->watches.end())
+        watch->second.invited = true;
+    if (!this->sources.isJoined())
+        return;
+    const NodeRecord *record = this->membership.find(heartbeat.id);
+    if (record == nullptr)
+        record = &heartbeat; // a leaving agent that is forgotten already
+    this->budget.send(ControlPriority::Heartbeats, heartbeat.control, this->acknowledge(*record),
+                      now, outbox);
+}
+
+void Monitor::noteHeard(const NodeId &agent, TimePoint now)
+{
+    const auto watch = this->watches.find(agent);
+    if (watch == this->watches.end())
+        return;
+    watch->second.heard = std::max(watch->second.heard, now);
+    watch->second.probes = 0;
+}
+
+HeartbeatAck Monitor::acknowledge(const NodeRecord &record)
+{
+    const bool suspected =
+            record.liveness == Liveness::Suspect || record.liveness == Liveness::Dead;
+    return { .monitor = this->membership.self().control,
+             .incarnation = record.incarnation,
+             .sequence = record.sequence,
+             .suspected = suspected,
+             .configuration = this->sources.configuration(),
+             .services = this->someServices(record.group),
+             .monitors = this->monitorsOf(record.id),
+             .holdings = this->sources.holdingsDigest(record.id) };
+}
+
+// At most servicesPerAck services of the group, others each time.
+std::vector<ServiceDigest> Monitor::someServices(const GroupName &group)
+{
+    auto services = this->sources.services(group);
+    if (services.size() <= servicesPerAck)
+        return services;
+    const std::size_t first = this->serviceRotation % services.size();
+    this->serviceRotation += servicesPerAck;
+    std::rotate(services.begin(), services.begin() + std::ptrdiff_t(first), services.end());
+    services.resize(servicesPerAck);
+    return services;
+}
+
+void Monitor::onMembersRequest(const MembersRequest &request, TimePoint now, Outbox &outbox)
+{
+    if (this->budget.deferredBytes(ControlPriority::Repair) > membersBacklog)
+        return; // the agent asks again
+    auto members = this->sources.members(request.service);
+    std::sort(members.begin(), members.end(),
+              [](const Member &a, const Member &b) { return a.id < b.id; });
+    const TableDigest digest = digestOf(members);
+    const std::size_t pieces =
+            std::max<std::size_t>(1, (members.size() + membersPerPiece - 1) / membersPerPiece);
+    for (std::size_t i = 0; i < pieces; ++i) {
+        const auto first = members.begin() + std::ptrdiff_t(i * membersPerPiece);
+        const auto last = members.begin()
+                          + std::ptrdiff_t(std::min((i + 1) * membersPerPiece, members.size()));
+        this->budget.send(ControlPriority::Repair, request.replyTo,
+                          Members{ .service = request.service,
+                                   .digest = digest,
+                                   .piece = std::uint16_t(i),
+                                   .pieces = std::uint16_t(pieces),
+                                   .members = { first, last } },
+                          now, outbox);
+    }
+}
+
+void Monitor::onProbe(const Probe &probe, TimePoint now, Outbox &outbox)
+{
+    const NodeRecord &self = this->membership.self();
+    if (probe.relayTo) {
+        const std::uint32_t number = ++this->lastNumber | relayMark;
+        this->relays[number] = { probe.replyTo, probe.number, now + relayLifetime };
+        this->budget.send(ControlPriority::Probes, *probe.relayTo,
+                          Probe{ .from = self.id,
+                                 .replyTo = self.control,
+                                 .number = number,
+                                 .configuration = this->sources.configuration() },
+                          now, outbox);
+        return;
+    }
+    this->budget.send(ControlPriority::Probes, probe.replyTo,
+                      ProbeAck{ .from = self.id,
+                                .incarnation = self.incarnation,
+                                .number = probe.number,
+                                .configuration = this->sources.configuration() },
+                      now, outbox);
+    const NodeRecord *sender = this->membership.find(probe.from);
+    if (sender != nullptr && sender->liveness != Liveness::Alive)
+        this->tell(*sender, probe.replyTo, now, outbox);
+}
+
+void Monitor::onProbeAck(const ProbeAck &ack, TimePoint now, Outbox &outbox)
+{
+    if ((ack.number & relayMark) != 0)
+        this->forwardAck(ack, now, outbox);
+    const NodeRecord *record = this->membership.find(ack.from);
+    if (record == nullptr || ack.incarnation < record->incarnation)
+        return;
+    this->lastAnswer = now;
+    std::erase_if(this->pending, [&](const Pending &probe) { return probe.target == ack.from; });
+    this->noteHeard(ack.from, now);
+    if (const auto watch = this->watches.find(ack.from); watch != this->watches.end())
+        watch->second.invited = false; // it lives, but its heartbeat was lost or went elsewhere
+    if (record->liveness != Liveness::Alive)
+        this->tell(*record, record->control, now, outbox);
+}
+
+void Monitor::forwardAck(const ProbeAck &ack, TimePoint now, Outbox &outbox)
+{
+    const auto relay = this->relays.find(ack.number);
+    if (relay == this->relays.end())
+        return;
+    ProbeAck forwarded = ack;
+    forwarded.number = relay->second.originNumber;
+    this->budget.send(ControlPriority::Probes, relay->second.origin, forwarded, now, outbox);
+    this->relays.erase(relay);
+}
+
+std::vector<const NodeRecord *> Monitor::chooseMonitors(const NodeId &agent) const
+{
+    const std::uint64_t seed = hashOf(agent, 5);
+    std::vector<std::pair<std::uint64_t, const NodeRecord *>> scored;
+    for (const NodeRecord *balancer : this->membership.aliveBalancers())
+        scored.emplace_back(hashOf(balancer->id, seed), balancer);
+    const std::size_t count = std::min(scored.size(), monitorsPerAgent);
+    std::partial_sort(scored.begin(), scored.begin() + std::ptrdiff_t(count), scored.end(),
+                      [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<const NodeRecord *> chosen;
+    for (std::size_t i = 0; i < count; ++i)
+        chosen.push_back(scored[i].second);
+    return chosen;
+}
+
+std::vector<Endpoint> Monitor::monitorsOf(const NodeId &agent) const
+{
+    std::vector<Endpoint> endpoints;
+    for (const NodeRecord *balancer : this->chooseMonitors(agent))
+        endpoints.push_back(balancer->control);
+    return endpoints;
+}
+
+bool Monitor::isMonitorOf(const NodeId &agent) const
+{
+    const auto chosen = this->chooseMonitors(agent);
+    return std::find(chosen.begin(), chosen.end(), &this->membership.self()) != chosen.end();
+}
+
+std::vector<NodeId> Monitor::monitored() const
+{
+    std::vector<NodeId> ids;
+    for (const auto &[id, watch] : this->watches)
+        ids.push_back(id);
+    return ids;
+}
+
+ConfigurationVersion Monitor::slowestConfiguration() const
+{
+    ConfigurationVersion slowest = UINT64_MAX;
+    for (const auto &[id, watch] : this->watches) {
+        const NodeRecord *record = this->membership.find(id);
+        if (record != nullptr && this->membership.isUsable(*record))
+            slowest = std::min(slowest, record->configuration);
+    }
+    return slowest;
+}
+
+// An agent's duty is computed once for each set of balancers, since hashing costs
+// (agents x balancers).
+void Monitor::updateAssignment(TimePoint now)
+{
+    const std::uint64_t balancers = this->membership.balancerGeneration();
+    const std::uint64_t agents = this->membership.generation();
+    if (now < this->nextAssignment
+        || (balancers == this->assignedBalancers && agents == this->assignedAgents))
+        return;
+    this->nextAssignment = now + assignmentInterval;
+    std::unordered_map<NodeId, bool> known;
+    if (balancers == this->assignedBalancers)
+        known.swap(this->duties);
+    this->duties.clear();
+    this->assignedBalancers = balancers;
+    this->assignedAgents = agents;
+    std::map<NodeId, Watch> next;
+    const TimePoint heard = now + this->options.assignmentGrace - this->options.suspectAfter;
+    for (const NodeRecord *agent : this->membership.agents()) {
+        const auto duty = known.find(agent->id);
+        const bool mine = duty != known.end() ? duty->second : this->isMonitorOf(agent->id);
+        this->duties[agent->id] = mine;
+        if (!mine)
+            continue;
+        const auto watch = this->watches.find(agent->id);
+        next[agent->id] = watch != this->watches.end() ? watch->second : Watch{ .heard = heard };
+    }
+    this->watches.swap(next);
+}
+
+void Monitor::watchAgents(TimePoint now, Outbox &outbox)
+{
+    for (auto &[id, watch] : this->watches) {
+        const NodeRecord *agent = this->membership.find(id);
+        if (agent != nullptr && now - watch.heard >= this->options.silenceBeforeProbe)
+            this->watchAgent(*agent, watch, now, outbox);
+    }
+}
+
+void Monitor::watchAgent(const NodeRecord &agent, Watch &watch, TimePoint now, Outbox &outbox)
+{
+    const bool isSuspect = agent.liveness == Liveness::Suspect;
+    // Most silences are a lost heartbeat, for which one direct probe is enough.
+    const bool indirect = !isSuspect && watch.probes > 0;
+    if (!watch.invited && !isSuspect) {
+        // The agent may know only monitors that have failed.
+        watch.invited = this->budget.send(ControlPriority::Heartbeats, agent.control,
+                                          this->acknowledge(agent), now, outbox);
+        watch.nextProbe = now + this->options.probeRepeat;
+    }
+    if (now >= watch.nextProbe && this->sendProbe(agent, indirect, now, outbox)) {
+        const Duration interval = isSuspect ? suspectProbeInterval : this->options.probeRepeat;
+        watch.nextProbe = now + interval;
+        ++watch.probes;
+    }
+    if (now - watch.heard < this->options.suspectAfter || watch.probes < probesOfSuspicion
+        || this->isCutOff(now - noAnswerOfCutOff, now))
+        return;
+    if (isSuspect)
+        this->declareDead(agent, now, outbox);
+    else
+        this->suspect(agent.id, now, outbox);
+}
+
+void Monitor::startProbe(TimePoint now, Outbox &outbox)
+{
+    if (this->probeOrder.empty()) {
+        for (const NodeRecord *peer : this->membership.peers())
+            this->probeOrder.push_back(peer->id);
+        std::shuffle(this->probeOrder.begin(), this->probeOrder.end(), this->random);
+    }
+    while (!this->probeOrder.empty()) {
+        const NodeRecord *target = this->membership.find(this->probeOrder.back());
+        const bool present =
+                target != nullptr
+                && (target->liveness == Liveness::Alive || target->liveness == Liveness::Suspect);
+        if (present && !this->sendProbe(*target, false, now, outbox))
+            return;
+        this->probeOrder.pop_back();
+        if (!present)
+            continue;
+        const TimePoint next = now + this->options.probeRepeat;
+        this->pending.push_back({ target->id, now, next });
+        return;
+    }
+}
+
+void Monitor::repeatProbes(TimePoint now, Outbox &outbox)
+{
+    std::vector<Pending> failed;
+    for (Pending &probe : this->pending) {
+        if (now - probe.started >= this->options.probeTimeout) {
+            failed.push_back(probe);
+            continue;
+        }
+        const NodeRecord *target = this->membership.find(probe.target);
+        if (target != nullptr && now >= probe.nextRepeat
+            && this->sendProbe(*target, true, now, outbox))
+            probe.nextRepeat = now + this->options.probeRepeat;
+    }
+    for (const Pending &probe : failed) {
+        std::erase_if(this->pending,
+                      [&](const Pending &other) { return other.target == probe.target; });
+        if (!this->isCutOff(probe.started, now))
+            this->suspect(probe.target, now, outbox);
+    }
+}
+
+// Returns false if the budget is short: the node then waits rather than count a probe that it could
+// not send as unanswered.
+bool Monitor::sendProbe(const NodeRecord &target, bool indirect, TimePoint now, Outbox &outbox)
+{
+    const std::size_t copies = indirect ? 1 + probeRelays : 1;
+    if (!this->budget.fits(ControlPriority::Probes, copies * probeBytes, now))
+        return false;
+    const NodeRecord &self = this->membership.self();
+    Probe probe{ .from = self.id,
+                 .replyTo = self.control,
+                 .number = ++this->lastNumber & ~relayMark,
+                 .configuration = this->sources.configuration() };
+    this->budget.send(ControlPriority::Probes, target.control, probe, now, outbox);
+    if (!indirect)
+        return true;
+    probe.relayTo = target.control;
+    auto relaysOf = this->membership.peers();
+    std::erase(relaysOf, &target);
+    for (std::size_t i = 0; i < probeRelays && !relaysOf.empty(); ++i) {
+        const std::size_t index = this->random() % relaysOf.size();
+        this->budget.send(ControlPriority::Probes, relaysOf[index]->control, probe, now, outbox);
+        relaysOf[index] = relaysOf.back();
+        relaysOf.pop_back();
+    }
+    return true;
+}
+
+void Monitor::suspect(const NodeId &id, TimePoint now, Outbox &outbox)
+{
+    if (!this->membership.suspect(id, now))
+        return;
+    const NodeRecord &record = *this->membership.find(id);
+    outbox.events.push_back(nodeEvent(Level::Warning, "suspect", record));
+    this->tell(record, record.control, now, outbox);
+}
+
+void Monitor::declareDead(const NodeRecord &record, TimePoint now, Outbox &outbox)
+{
+    if (record.liveness != Liveness::Suspect || this->isCutOff(now - noAnswerOfCutOff, now)
+        || now - this->membership.suspectSince(record.id) < this->options.deadAfter
+        || !this->membership.declareDead(record.id, now))
+        return;
+    outbox.events.push_back(nodeEvent(Level::Warning, "dead", record));
+    this->tell(record, record.control, now, outbox);
+}
+
+// Sends a node its own record, so that it refutes a mistake without waiting for gossip.
+void Monitor::tell(const NodeRecord &record, Endpoint control, TimePoint now, Outbox &outbox)
+{
+    this->budget.send(ControlPriority::Probes, control,
+                      Gossip{ .from = this->membership.self().id,
+                              .configuration = this->sources.configuration(),
+                              .records = { record } },
+                      now, outbox);
+}
+
+// True if nobody answered a probe since the given time, or nobody sent anything lately.
+bool Monitor::isCutOff(TimePoint since, TimePoint now) const
+{
+    const std::size_t peers = this->membership.peers().size();
+    if (peers >= othersOfCutOff && this->lastAnswer < since)
+        return true;
+    return peers + this->watches.size() >= othersOfCutOff
+           && now - this->lastHeard >= silenceOfCutOff;
+}
+
+} // namespace cactusdeck
--- a/core/monitor.h
+++ b/core/monitor.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -24,8 +25,9 @@
 // node is told directly and refutes with a higher incarnation.
 //
 // A node that was paused (its timer came more than pauseThreshold late) suspects nobody for what
-// it missed. A node whose own probes fail for the most part, or that hears nothing at all, blames
-// itself and suspects nobody new.
+// it missed. A node that hears nothing at all, or gets no answer to any probe, takes itself to be
+// cut off and suspects nobody new. Before it has joined it has no duties and does not answer
+// heartbeats, since it would name the wrong monitors.
 //
 // Cost at 760 balancers and 6,200 agents (16 agents a monitor): 16 HeartbeatAcks of about 75 bytes
 // and one or two probes of 40 bytes with answers a second, 1.3 KB/s. A heartbeat names at most
@@ -54,6 +56,7 @@
 // What the monitor needs from the rest of the balancer.
 struct MonitorSources
 {
+    std::function<bool()> isJoined; // GossipSpread::isJoined
     std::function<ConfigurationVersion()> configuration; // newest version of this node
     // Services that a group carries, with the digests of their tables in this node's view.
     std::function<std::vector<ServiceDigest>(const GroupName &)> services;
@@ -87,7 +90,9 @@
     struct Watch // an agent that this node monitors
     {
         TimePoint heard;
-        TimePoint nextProbe;
+        TimePoint nextProbe{};
+        int probes = 0; // sent since it was heard
+        bool invited = false; // knows that this node is its monitor
     };
     struct Pending // a probe of a balancer without an answer so far
     {
@@ -102,41 +107,46 @@
         TimePoint expires;
     };
 
-    void onHeartbeat(const NodeRecord &record, TimePoint now, Outbox &outbox);
+    void onHeartbeat(const NodeRecord &heartbeat, TimePoint now, Outbox &outbox);
+    void noteHeard(const NodeId &agent, TimePoint now);
     HeartbeatAck acknowledge(const NodeRecord &record);
+    std::vector<ServiceDigest> someServices(const GroupName &group);
     void onMembersRequest(const MembersRequest &request, TimePoint now, Outbox &outbox);
     void onProbe(const Probe &probe, TimePoint now, Outbox &outbox);
     void onProbeAck(const ProbeAck &ack, TimePoint now, Outbox &outbox);
+    void forwardAck(const ProbeAck &ack, TimePoint now, Outbox &outbox);
     void resumeAfterPause(TimePoint now, Outbox &outbox);
+    std::vector<const NodeRecord *> chooseMonitors(const NodeId &agent) const;
     void updateAssignment(TimePoint now);
     void watchAgents(TimePoint now, Outbox &outbox);
-    void probeBalancers(TimePoint now, Outbox &outbox);
+    void watchAgent(const NodeRecord &agent, Watch &watch, TimePoint now, Outbox &outbox);
     void startProbe(TimePoint now, Outbox &outbox);
     void repeatProbes(TimePoint now, Outbox &outbox);
-    bool probe(const NodeRecord &target, bool indirect, TimePoint now, Outbox &outbox);
+    bool sendProbe(const NodeRecord &target, bool indirect, TimePoint now, Outbox &outbox);
     void suspect(const NodeId &id, TimePoint now, Outbox &outbox);
-    void declareDead(TimePoint now, Outbox &outbox);
-    void tell(const NodeRecord &record, TimePoint now, Outbox &outbox);
-    void noteOutcome(bool answered);
-    bool blamesItself(TimePoint now) const;
+    void declareDead(const NodeRecord &record, TimePoint now, Outbox &outbox);
+    void tell(const NodeRecord &record, Endpoint control, TimePoint now, Outbox &outbox);
+    bool isCutOff(TimePoint since, TimePoint now) const;
 
     MonitorOptions options;
     MonitorSources sources;
     Membership &membership;
     ControlBudget &budget;
     std::mt19937_64 random;
-    std::unordered_map<NodeId, Watch> watches;
+    std::map<NodeId, Watch> watches;
+    std::unordered_map<NodeId, bool> duties; // by agent: whether this node monitors it
     std::uint64_t assignedBalancers = 0; // generations of the present assignment
     std::uint64_t assignedAgents = 0;
     std::vector<NodeId> probeOrder;
     std::deque<Pending> pending;
     std::unordered_map<std::uint32_t, Relay> relays;
-    std::uint32_t nextNumber = 1;
-    std::uint32_t ackRotation = 0;
-    std::deque<bool> outcomes; // of the latest probes of balancers
+    std::uint32_t lastNumber = 0;
+    std::size_t serviceRotation = 0;
     TimePoint lastTimer{};
-    TimePoint lastHeard{};
+    TimePoint lastHeard{}; // any message
+    TimePoint lastAnswer{}; // an answer to a probe
     TimePoint nextProbe{};
+    TimePoint nextAssignment{};
     bool started = false;
 };
 
