--- a/core/announcer.h
+++ b/core/announcer.h
@@ -100,6 +100,7 @@
         TableDigest digest = 0;
         bool known = false;
         TimePoint nextRequest{};
+        Duration requestDelay{}; // doubled while the monitors do not answer
         TableDigest partialDigest = 0; // of the list that is being received in pieces
         std::map<std::uint16_t, std::vector<Member>> pieces;
     };
--- a/core/controlbus_test.h
+++ b/core/controlbus_test.h
@@ -54,6 +54,7 @@
     std::size_t windowBytes = 0;
     std::size_t largestWindow = 0;
     std::size_t largestDatagram = 0;
+    std::map<std::size_t, std::uint64_t> sentByKind; // bytes, by index in ControlMessage
 
     bool isBalancer() const { return this->membership != nullptr; }
 };
@@ -310,7 +311,9 @@
         for (const Event &event : outbox.events)
             ++this->events[event.name];
         for (ControlSend &send : outbox.control) {
-            this->count(from, encodedSize(send.message));
+            const std::size_t bytes = encodedSize(send.message);
+            from.sentByKind[send.message.index()] += bytes;
+            this->count(from, bytes);
             const auto to = this->byControl.find(send.to);
             const bool lost = std::uniform_real_distribution<>()(this->random) < this->options.loss;
             if (lost || to == this->byControl.end()
--- a/core/monitor.cpp
+++ b/core/monitor.cpp
@@ -35,6 +35,9 @@
 // A probe is sent each second, and two of three may go to failed balancers.
 constexpr std::chrono::seconds noAnswerOfCutOff{ 5 };
 
+// Deferred bytes beyond which member lists wait, so that joining balancers are served first.
+constexpr std::size_t membersBacklog = 4 * 1024;
+
 // Members of about 25 bytes in a datagram, with room for longer names.
 constexpr std::size_t membersPerPiece = 30;
 
@@ -127,8 +130,8 @@
     const NodeRecord *record = this->membership.find(heartbeat.id);
     if (record == nullptr)
         record = &heartbeat; // a leaving agent that is forgotten already
-    this->budget.send(ControlPriority::Liveness, heartbeat.control, this->acknowledge(*record), now,
-                      outbox);
+    this->budget.send(ControlPriority::Heartbeats, heartbeat.control, this->acknowledge(*record),
+                      now, outbox);
 }
 
 void Monitor::noteHeard(const NodeId &agent, TimePoint now)
@@ -169,6 +172,8 @@
 
 void Monitor::onMembersRequest(const MembersRequest &request, TimePoint now, Outbox &outbox)
 {
+    if (this->budget.deferredBytes(ControlPriority::Repair) > membersBacklog)
+        return; // the agent asks again
     auto members = this->sources.members(request.service);
     std::sort(members.begin(), members.end(),
               [](const Member &a, const Member &b) { return a.id < b.id; });
@@ -179,7 +184,7 @@
         const auto first = members.begin() + std::ptrdiff_t(i * membersPerPiece);
         const auto last = members.begin()
                           + std::ptrdiff_t(std::min((i + 1) * membersPerPiece, members.size()));
-        this->budget.send(ControlPriority::Changes, request.replyTo,
+        this->budget.send(ControlPriority::Repair, request.replyTo,
                           Members{ .service = request.service,
                                    .digest = digest,
                                    .piece = std::uint16_t(i),
@@ -195,7 +200,7 @@
     if (probe.relayTo) {
         const std::uint32_t number = ++this->lastNumber | relayMark;
         this->relays[number] = { probe.replyTo, probe.number, now + relayLifetime };
-        this->budget.send(ControlPriority::Liveness, *probe.relayTo,
+        this->budget.send(ControlPriority::Probes, *probe.relayTo,
                           Probe{ .from = self.id,
                                  .replyTo = self.control,
                                  .number = number,
@@ -203,7 +208,7 @@
                           now, outbox);
         return;
     }
-    this->budget.send(ControlPriority::Liveness, probe.replyTo,
+    this->budget.send(ControlPriority::Probes, probe.replyTo,
                       ProbeAck{ .from = self.id,
                                 .incarnation = self.incarnation,
                                 .number = probe.number,
@@ -224,6 +229,8 @@
     this->lastAnswer = now;
     std::erase_if(this->pending, [&](const Pending &probe) { return probe.target == ack.from; });
     this->noteHeard(ack.from, now);
+    if (const auto watch = this->watches.find(ack.from); watch != this->watches.end())
+        watch->second.invited = false; // it lives, but its heartbeat was lost or went elsewhere
     if (record->liveness != Liveness::Alive)
         this->tell(*record, record->control, now, outbox);
 }
@@ -235,7 +242,7 @@
         return;
     ProbeAck forwarded = ack;
     forwarded.number = relay->second.originNumber;
-    this->budget.send(ControlPriority::Liveness, relay->second.origin, forwarded, now, outbox);
+    this->budget.send(ControlPriority::Probes, relay->second.origin, forwarded, now, outbox);
     this->relays.erase(relay);
 }
 
@@ -329,16 +336,19 @@
 void Monitor::watchAgent(const NodeRecord &agent, Watch &watch, TimePoint now, Outbox &outbox)
 {
     const bool isSuspect = agent.liveness == Liveness::Suspect;
-    if (now >= watch.nextProbe && this->sendProbe(agent, !isSuspect, now, outbox)) {
+    // Most silences are a lost heartbeat, for which one direct probe is enough.
+    const bool indirect = !isSuspect && watch.probes > 0;
+    if (!watch.invited && !isSuspect) {
+        // The agent may know only monitors that have failed.
+        watch.invited = this->budget.send(ControlPriority::Heartbeats, agent.control,
+                                          this->acknowledge(agent), now, outbox);
+        watch.nextProbe = now + this->options.probeRepeat;
+    }
+    if (now >= watch.nextProbe && this->sendProbe(agent, indirect, now, outbox)) {
         const Duration interval = isSuspect ? suspectProbeInterval : this->options.probeRepeat;
         watch.nextProbe = now + interval;
         ++watch.probes;
     }
-    if (!watch.invited) {
-        // The agent may know only monitors that have failed.
-        watch.invited = this->budget.send(ControlPriority::Liveness, agent.control,
-                                          this->acknowledge(agent), now, outbox);
-    }
     if (now - watch.heard < this->options.suspectAfter || watch.probes < probesOfSuspicion
         || this->isCutOff(now - noAnswerOfCutOff, now))
         return;
@@ -397,14 +407,14 @@
 bool Monitor::sendProbe(const NodeRecord &target, bool indirect, TimePoint now, Outbox &outbox)
 {
     const std::size_t copies = indirect ? 1 + probeRelays : 1;
-    if (!this->budget.fits(ControlPriority::Liveness, copies * probeBytes, now))
+    if (!this->budget.fits(ControlPriority::Probes, copies * probeBytes, now))
         return false;
     const NodeRecord &self = this->membership.self();
     Probe probe{ .from = self.id,
                  .replyTo = self.control,
                  .number = ++this->lastNumber & ~relayMark,
                  .configuration = this->sources.configuration() };
-    this->budget.send(ControlPriority::Liveness, target.control, probe, now, outbox);
+    this->budget.send(ControlPriority::Probes, target.control, probe, now, outbox);
     if (!indirect)
         return true;
     probe.relayTo = target.control;
@@ -412,7 +422,7 @@
     std::erase(relaysOf, &target);
     for (std::size_t i = 0; i < probeRelays && !relaysOf.empty(); ++i) {
         const std::size_t index = this->random() % relaysOf.size();
-        this->budget.send(ControlPriority::Liveness, relaysOf[index]->control, probe, now, outbox);
+        this->budget.send(ControlPriority::Probes, relaysOf[index]->control, probe, now, outbox);
         relaysOf[index] = relaysOf.back();
         relaysOf.pop_back();
     }
@@ -441,7 +451,7 @@
 // Sends a node its own record, so that it refutes a mistake without waiting for gossip.
 void Monitor::tell(const NodeRecord &record, Endpoint control, TimePoint now, Outbox &outbox)
 {
-    this->budget.send(ControlPriority::Liveness, control,
+    this->budget.send(ControlPriority::Probes, control,
                       Gossip{ .from = this->membership.self().id,
                               .configuration = this->sources.configuration(),
                               .records = { record } },
