Add benchmark of admission and of established packets in the agent

Cause: the cost of the agent's packet path was not known.

Change: core/admission_bench.cpp; string concatenations in tests avoid a false warning of the compiler.

Benchmark not run yet.

--- /dev/null
+++ b/core/admission_bench.cpp
@@ -0,0 +1,72 @@
+#include "core/admission.h"
+
+#include <benchmark/benchmark.h>
+
+#include "core/agent_test.h"
+
+// Cost of an admission decision, and of an established packet through Agent::onFrame.
+
+using namespace cactusdeck;
+using namespace cactusdeck::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+class NullSink : public DataSink
+{
+public:
+    void toServer(std::span<const std::uint8_t> packet) override
+    {
+        benchmark::DoNotOptimize(packet.data());
+        ++this->delivered;
+    }
+    void toFabric(std::span<const std::uint8_t>) override { }
+    void toNode(Endpoint, std::span<const std::uint8_t>, std::span<const std::uint8_t>) override { }
+
+    std::uint64_t delivered = 0;
+};
+
+void admissionDecision(benchmark::State &state)
+{
+    Admission admission;
+    const TimePoint now{ 1000s };
+    admission.start(now);
+    admission.setLimits({ .slots = 5, .coldSlots = 1, .connections = 2000 });
+    for (auto _ : state) {
+        const FlowDecision decision = admission.decideFlow({ .connections = 100 }, now);
+        const auto ticket = admission.begin(now);
+        benchmark::DoNotOptimize(decision);
+        admission.onFirstResponse(*ticket, now);
+        admission.end(*ticket, now);
+    }
+}
+BENCHMARK(admissionDecision);
+
+// Acknowledgements of as many flows as the contract allows.
+void establishedPacket(benchmark::State &state)
+{
+    World world;
+    Backend &a = world.add(8000);
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::vector<Bytes> datagrams;
+    while (datagrams.size() < 100) {
+        callers.push_back(std::make_unique<Caller>(world));
+        callers.back()->open({ &a });
+        datagrams.push_back(
+                world.datagram(world.forward({ &a }, 0), callers.back()->packet(tcpflag::ack)));
+        world.now += 1s;
+    }
+    a.outbox.clear();
+    NullSink sink;
+    std::size_t i = 0;
+    for (auto _ : state) {
+        a.agent.onFrame(datagrams[i], world.now, sink, a.outbox);
+        i = i + 1 == datagrams.size() ? 0 : i + 1;
+    }
+    if (sink.delivered != std::uint64_t(state.iterations()))
+        state.SkipWithError("not all packets were delivered");
+    state.SetItemsProcessed(std::int64_t(sink.delivered));
+}
+BENCHMARK(establishedPacket);
+
+} // namespace
--- a/core/agent_test.h
+++ b/core/agent_test.h
@@ -174,7 +174,7 @@
 
     AgentOptions options(bool mayHoldFlows) const
     {
-        return { .id = { "a" + std::to_string(this->data.port) },
+        return { .id = { std::string("a").append(std::to_string(this->data.port)) },
                  .zone = { "amman-a" },
                  .data = this->data,
                  .control = { this->data.address, std::uint16_t(this->data.port + 1000) },
@@ -212,7 +212,7 @@
         const std::string text = contractText(contract);
         const std::string hash = contractHash(text);
         ConfigurationHead head{ .version = version,
-                                .changeId = "c" + std::to_string(version),
+                                .changeId = std::string("c").append(std::to_string(version)),
                                 .services = { { contract.service, hash } },
                                 .zones = { { { "amman-a" }, zone } } };
         head.changes.push_back({ .version = version, .changeId = head.changeId, .author = "t" });
--- a/core/flowtable_test.cpp
+++ b/core/flowtable_test.cpp
@@ -169,7 +169,7 @@
     BOOST_TEST(!reporter.update(service, table));
     // Members join until the bucket's home pair is without a0.
     for (int i = 1; PlacementTable(members).isHome(flow.bucket, { "a0" }); ++i)
-        members.push_back({ { "a" + std::to_string(i) }, 1 });
+        members.push_back({ { std::string("a").append(std::to_string(i)) }, 1 });
     reporter.setMembers(service, members);
     report = reporter.update(service, table);
     BOOST_REQUIRE(report);
