Take patterns out of valijson, cut the cost of deltas

valijson compiled each pattern again for every validation, and a delta copied the whole service table and hashed all contracts again. Patterns are compiled once; an unrestricted delta uses the stored digest.

--- a/core/configspread_test.cpp
+++ b/core/configspread_test.cpp
@@ -99,11 +99,13 @@
 {
     Fleet fleet;
     std::vector<Endpoint> all;
+    all.reserve(std::size_t(count));
     for (int i = 0; i < count; ++i)
         all.push_back(endpoint(i));
+    const ConfigurationPointer first = build(1);
     for (int i = 0; i < count; ++i) {
         fleet.add(i);
-        fleet.node(i).adopt(build(1), start, fleet.outbox);
+        fleet.node(i).adopt(first, start, fleet.outbox);
         fleet.node(i).setPeers(all);
     }
     fleet.outbox.clear();
--- a/core/configuration.cpp
+++ b/core/configuration.cpp
@@ -79,14 +79,15 @@
 }
 
 // Agents need only the newest record; balancers keep all, for joiners.
-void cutChanges(ConfigurationHead &head, ConfigurationVersion base, bool newestOnly)
+std::vector<ChangeRecord> changesSince(const Configuration &target, ConfigurationVersion base,
+                                       bool newestOnly)
 {
-    const auto end = head.changes.end();
-    auto first = std::find_if(head.changes.begin(), end,
-                              [&](const ChangeRecord &r) { return r.version > base; });
-    if (newestOnly && !head.changes.empty())
-        first = end - 1;
-    head.changes.erase(head.changes.begin(), first);
+    const auto &changes = target.changes();
+    const auto isLater = [&](const ChangeRecord &record) { return record.version > base; };
+    auto first = std::find_if(changes.begin(), changes.end(), isLater);
+    if (newestOnly && !changes.empty())
+        first = changes.end() - 1;
+    return { first, changes.end() };
 }
 
 // The head of the result, with the records that the base knows and the service table that the
@@ -273,11 +274,13 @@
     delta.from = isSnapshot ? 0 : base->version();
     delta.to = target.version();
     delta.group = group;
-    ConfigurationHead head = target.head();
-    head.services.clear();
-    cutChanges(head, delta.from, group.has_value());
+    const ConfigurationHead head{ .version = target.version(),
+                                  .changeId = target.changeId(),
+                                  .changes = changesSince(target, delta.from, group.has_value()),
+                                  .zones = target.zones() };
     delta.head = toJson(head, false);
-    delta.head["digest"] = digestOf(target.contracts(), target.head(), group);
+    delta.head["digest"] =
+            group ? digestOf(target.contracts(), target.head(), group) : target.digest();
     writeChanges(delta.from == 0 ? std::span<const ContractPointer>() : base->contracts(),
                  target.contracts(), group, delta);
     return delta;
--- a/core/configuration_bench.cpp
+++ b/core/configuration_bench.cpp
@@ -58,7 +58,7 @@
     const ServiceContract contract = contractOf(1, 5);
     const std::string text = contractText(contract);
     const std::string hash = contractHash(text);
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         benchmark::DoNotOptimize(parsePublished(text, contract.service, hash).value());
 }
 BENCHMARK(parseServiceObject);
@@ -66,7 +66,7 @@
 void buildConfiguration(benchmark::State &state)
 {
     const Version version = versionOf(100);
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         benchmark::DoNotOptimize(build(version));
 }
 BENCHMARK(buildConfiguration);
@@ -74,7 +74,7 @@
 void parseStoreHead(benchmark::State &state)
 {
     const std::string text = headText(versionOf(100).head);
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         benchmark::DoNotOptimize(parseHead(text).value());
     state.counters["bytes"] = double(text.size());
 }
@@ -90,7 +90,7 @@
 {
     const Step step;
     std::size_t bytes = 0;
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         bytes = encodeMessage(deltaBetween(step.base.get(), *step.target, group)).size();
     state.counters["bytes"] = double(bytes);
 }
@@ -101,7 +101,7 @@
 {
     const Step step;
     std::size_t bytes = 0;
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         bytes = encodeMessage(deltaBetween(nullptr, *step.target, {})).size();
     state.counters["bytes"] = double(bytes);
 }
@@ -111,7 +111,7 @@
 {
     const Step step;
     const ConfigurationDelta delta = deltaBetween(step.base.get(), *step.target, {});
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         benchmark::DoNotOptimize(applyDelta(*step.base, delta).value());
 }
 BENCHMARK(applyDeltaOfOneService);
@@ -121,7 +121,7 @@
     const Step step;
     const ConfigurationDelta delta = deltaBetween(nullptr, *step.target, {});
     const Configuration empty;
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         benchmark::DoNotOptimize(applyDelta(empty, delta).value());
 }
 BENCHMARK(applySnapshot);
@@ -130,7 +130,7 @@
 {
     const Step step;
     std::uint32_t index = 0;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         index = (index + 97) % serviceCount;
         benchmark::DoNotOptimize(step.target->find({ 0xC6336400u + index, 443 }, Protocol::Tcp));
     }
--- a/core/configuration_test.cpp
+++ b/core/configuration_test.cpp
@@ -159,7 +159,7 @@
     const auto v3 = build(3, { a, b });
     const auto v4 = build(4, { a2, b, c });
     const auto refused = [&](const ConfigurationDelta &delta) {
-        const std::string message = errorOf([&] { return log.apply(delta); });
+        std::string message = errorOf([&] { return log.apply(delta); });
         BOOST_TEST((log.current() == before));
         return message;
     };
--- a/core/jsonschema.cpp
+++ b/core/jsonschema.cpp
@@ -1,5 +1,7 @@
 #include "core/jsonschema.h"
 
+#include <map>
+#include <regex>
 #include <set>
 #include <vector>
 
@@ -52,6 +54,48 @@
     return pointer;
 }
 
+// Patterns are taken out of what valijson gets: it compiles them again for each validation, which
+// takes longer than all the rest.
+using Patterns = std::map<std::string, std::regex>;
+
+void takePatterns(json &schema, Patterns &patterns)
+{
+    if (const auto pattern = schema.find("pattern"); pattern != schema.end()) {
+        const auto text = pattern->get<std::string>();
+        patterns.emplace(text, std::regex(text));
+        schema.erase(pattern);
+    }
+    if (const auto properties = schema.find("properties"); properties != schema.end()) {
+        for (json &property : *properties)
+            takePatterns(property, patterns);
+    }
+    if (const auto items = schema.find("items"); items != schema.end())
+        takePatterns(*items, patterns);
+}
+
+void checkPatterns(const json &value, const json &schema, const Patterns &patterns,
+                   const std::string &path, JsonFaults &faults)
+{
+    if (value.is_object() && schema.contains("properties")) {
+        const json &properties = schema["properties"];
+        for (const auto &item : value.items()) {
+            const auto found = properties.find(item.key());
+            // Paths are made only where there is something to check.
+            if (found != properties.end()
+                && (item.value().is_structured() || found->contains("pattern")))
+                checkPatterns(item.value(), *found, patterns, childPath(path, item.key()), faults);
+        }
+    } else if (value.is_array() && schema.contains("items")) {
+        for (std::size_t i = 0; i < value.size(); ++i)
+            checkPatterns(value[i], schema["items"], patterns, path + "/" + std::to_string(i),
+                          faults);
+    } else if (value.is_string() && schema.contains("pattern")) {
+        const std::regex &pattern = patterns.at(schema["pattern"].get_ref<const std::string &>());
+        if (!std::regex_search(value.get_ref<const std::string &>(), pattern))
+            faults.add(path, value, descriptionOf(schema));
+    }
+}
+
 // valijson names unknown and missing keys only in prose, so they are looked for here.
 void checkKeys(const json &value, const json &schema, const std::string &path, JsonFaults &faults)
 {
@@ -60,9 +104,10 @@
     const json &properties = schema["properties"];
     const bool isClosed = schema.value("additionalProperties", json(true)) == json(false);
     for (const auto &item : value.items()) {
-        if (properties.contains(item.key()))
+        const bool isNamed = properties.contains(item.key());
+        if (isNamed && item.value().is_object())
             checkKeys(item.value(), properties[item.key()], childPath(path, item.key()), faults);
-        else if (isClosed)
+        else if (!isNamed && isClosed)
             faults.add(childPath(path, item.key()), item.value(), "no such key; it is unknown");
     }
     for (const json &key : schema.value("required", json::array())) {
@@ -138,16 +183,18 @@
 struct JsonSchema::Parts
 {
     json document;
-    valijson::Schema schema;
+    Patterns patterns;
+    valijson::Schema schema; // without patterns
 };
 
 JsonSchema::JsonSchema(std::string_view schemaText)
 {
     auto prepared = std::make_unique<Parts>();
     prepared->document = json::parse(schemaText);
+    json remaining = prepared->document;
+    takePatterns(remaining, prepared->patterns);
     valijson::SchemaParser parser;
-    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(prepared->document),
-                          prepared->schema);
+    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(remaining), prepared->schema);
     this->parts = std::move(prepared);
 }
 
@@ -177,6 +224,7 @@
         return;
     }
     checkKeys(value, this->parts->document, "", faults);
+    checkPatterns(value, this->parts->document, this->parts->patterns, "", faults);
     valijson::Validator validator(valijson::Validator::kStrongTypes);
     valijson::ValidationResults results;
     const valijson::adapters::NlohmannJsonAdapter adapter(value);
--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -149,7 +149,8 @@
         fetch.service.reset();
         return;
     }
-    const auto &[service, hash] = *entry;
+    const ServiceName &service = entry->first;
+    const std::string &hash = entry->second;
     if (answer.status == StoreStatus::NotFound
         || (answer.status == StoreStatus::Ok && contractHash(answer.value) != hash)) {
         // Objects are written before the head, so this is a stale or damaged read.
@@ -179,7 +180,7 @@
 
 ContractPointer StoreReader::have(const ServiceName &service, const std::string &hash) const
 {
-    const ContractPointer current = this->known->published(service);
+    ContractPointer current = this->known->published(service);
     if (current && current->hash == hash)
         return current;
     const auto found = this->fetched.find(hash);
