--- a/core/storereader.cpp
+++ b/core/storereader.cpp
@@ -128,9 +128,9 @@
             this->wanted = std::move(head);
         return;
     }
+    // Nothing new: stale reads in turn with current ones make each watch answer at once.
+    this->headSlot.delay(now);
     if (head.version < this->known->version()) {
-        // A stale read: the watch on it would answer at once, again and again.
-        this->headSlot.delay(now);
         outbox.events.push_back(versionEvent(Level::Info, "configuration_stale_read", head.version,
                                              "known: " + std::to_string(this->known->version())));
     } else if (head.changeId != this->known->changeId()) {
@@ -149,7 +149,8 @@
         fetch.service.reset();
         return;
     }
-    const auto &[service, hash] = *entry;
+    const ServiceName &service = entry->first;
+    const std::string &hash = entry->second;
     if (answer.status == StoreStatus::NotFound
         || (answer.status == StoreStatus::Ok && contractHash(answer.value) != hash)) {
         // Objects are written before the head, so this is a stale or damaged read.
@@ -179,7 +180,7 @@
 
 ContractPointer StoreReader::have(const ServiceName &service, const std::string &hash) const
 {
-    const ContractPointer current = this->known->published(service);
+    ContractPointer current = this->known->published(service);
     if (current && current->hash == hash)
         return current;
     const auto found = this->fetched.find(hash);
