Tell refused RPC calls from unanswered ones, bind JSON-RPC exclusively

libjsonrpccpp's client codes -32001 to -32003 are also in the project's table, so a MalformedPacket answer was reported as an unreachable peer. cpp-httplib sets SO_REUSEPORT by default, so a second node could listen on an occupied endpoint.

--- a/node/operatorcommand.cpp
+++ b/node/operatorcommand.cpp
@@ -42,8 +42,8 @@
   --change ID       With status: tell whether this change was accepted.
   --dry-run         Show what publish would change, and change nothing.
   --force           Permit to remove all services or to take the last failure domain out.
-  --wait SECONDS    Return when the change is in force on all nodes, or fail after this time.
-                    --wait alone allows 30 seconds.
+  --wait SECONDS    Return when the change is in force on all nodes, or fail after this time;
+                    30 seconds if no number is given.
   --help            Show this text.
   --version         Show the version.
 
--- a/node/rpcserver.cpp
+++ b/node/rpcserver.cpp
@@ -44,6 +44,12 @@
     {
         this->server.new_task_queue = [] { return new httplib::ThreadPool(handlerThreads); };
         this->server.set_payload_max_length(maxRequestBytes);
+        // The library's default is SO_REUSEPORT, with which a second node could listen on the same
+        // endpoint and would get some of the requests.
+        this->server.set_socket_options([](socket_t socket) {
+            const int yes = 1;
+            setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        });
         this->server.Post("/", [this](const httplib::Request &request, httplib::Response &answer) {
             std::string text;
             this->GetHandler()->HandleRequest(request.body, text);
--- a/node/rpctransport.cpp
+++ b/node/rpctransport.cpp
@@ -10,6 +10,17 @@
 
 namespace {
 
+// Null for text that is not JSON.
+Json::Value parseJson(const std::string &text)
+{
+    Json::Value value;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    std::string errors;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+        return Json::Value();
+    return value;
+}
+
 // libjsonrpccpp's own connector is not used: its timeout doesn't apply to the connection, so an
 // unreachable node would delay the commands by minutes.
 class HttpConnector : public jsonrpc::IClientConnector
@@ -29,42 +40,43 @@
     {
         const httplib::Result answer = this->client.Post("/", message, "application/json");
         if (!answer)
-            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
-                                            httplib::to_string(answer.error()));
+            this->failNoAnswer(httplib::to_string(answer.error()));
+        const Json::Value value = parseJson(answer->body);
+        if (!value.isObject() || !(value.isMember("result") || value.isMember("error")))
+            this->failNoAnswer("the answer is not JSON-RPC");
         result = answer->body;
     }
 
+    // The library's own error codes are also in the project's table, so the code of an exception
+    // doesn't tell who raised it.
+    bool hasAnswer() const { return this->answered; }
+
 private:
+    void failNoAnswer(const std::string &message)
+    {
+        this->answered = false;
+        throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, message);
+    }
+
     httplib::Client client;
+    bool answered = true;
 };
 
-Json::Value parseJson(const std::string &text)
-{
-    Json::Value value;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    std::string errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
-        throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, errors);
-    return value;
-}
-
 } // namespace
 
-const int rpcConnectorError = jsonrpc::Errors::ERROR_CLIENT_CONNECTOR;
-const int rpcInvalidAnswer = jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE;
-
 RpcReply callRpc(const std::string &host, int port, const std::string &method,
                  const std::string &parameters, int timeoutMilliseconds)
 {
+    HttpConnector connector(host, port, std::chrono::milliseconds(timeoutMilliseconds));
     try {
-        HttpConnector connector(host, port, std::chrono::milliseconds(timeoutMilliseconds));
         jsonrpc::Client client(connector);
         const Json::Value result = client.CallMethod(method, parseJson(parameters));
         Json::StreamWriterBuilder writer;
         writer["indentation"] = "";
-        return { true, 0, Json::writeString(writer, result) };
+        return { RpcStatus::Ok, 0, Json::writeString(writer, result) };
     } catch (const jsonrpc::JsonRpcException &error) {
-        return { false, error.GetCode(), error.GetMessage() };
+        const RpcStatus status = connector.hasAnswer() ? RpcStatus::Refused : RpcStatus::NoAnswer;
+        return { status, error.GetCode(), error.GetMessage() };
     }
 }
 
--- a/node/rpctransport.h
+++ b/node/rpctransport.h
@@ -9,18 +9,19 @@
 
 namespace cactusdeck {
 
+enum class RpcStatus {
+    Ok,
+    Refused, // the node answered with an error
+    NoAnswer, // no connection, no answer in time, or an answer that is not JSON-RPC
+};
+
 struct RpcReply
 {
-    bool ok;
-    int code; // JSON-RPC error code, without ok
+    RpcStatus status;
+    int code; // JSON-RPC error code, if Refused
     std::string text; // the result as JSON text, or the error message
 };
 
-// Errors of the library itself, which are not in the project's table: no connection, no answer in
-// time, or an answer that is not JSON-RPC.
-extern const int rpcConnectorError;
-extern const int rpcInvalidAnswer;
-
 // parameters: a JSON object as text.
 RpcReply callRpc(const std::string &host, int port, const std::string &method,
                  const std::string &parameters, int timeoutMilliseconds);
