Judge demo runs with lost servers as failed

A backend server that ended made the fabric's report fail as a whole, and the demo ended with exit status 12 and without its result line. The report now counts servers without counters, the verdict fails for them, and the demo prints a result line after every error.

--- a/standin/commands.cpp
+++ b/standin/commands.cpp
@@ -170,11 +170,18 @@
         isDone = shared.machine.isDone(Clock::now());
     }
     nlohmann::json counters = nlohmann::json::array();
+    int unreachable = 0;
     for (const Endpoint server : shared.machine.servers()) {
-        BOOST_LEAF_AUTO(answer, callJson(server, "/counters"));
-        counters.push_back(answer);
+        const auto answer = leaf::try_handle_all([&] { return callJson(server, "/counters"); },
+                                                 [] { return nlohmann::json(); });
+        if (answer.is_null())
+            ++unreachable;
+        else
+            counters.push_back(answer);
     }
-    std::cout << shared.machine.report(counters).dump(2) << std::endl;
+    nlohmann::json report = shared.machine.report(counters);
+    report["unreachableServers"] = unreachable;
+    std::cout << report.dump(2) << std::endl;
     return {};
 }
 
@@ -233,14 +240,16 @@
               << "servers: " << count("overloads") << " cold overloads, "
               << count("unwarnedOverloads") << " more within 1 s of turning cold silently, "
               << count("shed") << " shed, " << count("acceptedAfterDrain")
-              << " accepted later than 2 s after drain\n";
+              << " accepted later than 2 s after drain, " << count("unreachableServers")
+              << " without counters\n";
     for (const auto &flow : report.at("brokenFlows"))
         std::cout << "  broken: " << flow.get<std::string>() << '\n';
-    const bool isFaultless =
-            count("broken") + count("unfinished") + count("misdelivered") + count("duplicated")
-                            + count("untrueRefusals") + count("overloads")
-                    == 0
-            && options.afterZoneOut <= zoneOutLimit && count("flows") >= options.minFlows;
+    const bool isFaultless = count("broken") + count("unfinished") + count("misdelivered")
+                                             + count("duplicated") + count("untrueRefusals")
+                                             + count("overloads") + count("unreachableServers")
+                                     == 0
+                             && options.afterZoneOut <= zoneOutLimit
+                             && count("flows") >= options.minFlows;
     std::cout << "flows=" << count("flows") << " broken=" << count("broken")
               << " misdelivered=" << count("misdelivered") << " duplicated=" << count("duplicated")
               << " untrue_refusals=" << count("untrueRefusals")
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -43,13 +43,15 @@
 store=127.0.0.1:$((basePort + 1))
 speeds=(1 0.5 2 1 1.5 0.5 2) # 4:1
 pids=()
-balancerCount=0 serverCount=0
+balancerCount=0 serverCount=0 isJudged=no
 balancerPids=() seeds=() serverHealths=() serverZones=()
 
 # Ends only processes of this run, also after an error.
 stopAll() {
     local status=$? pid
     trap - EXIT
+    [ "$isJudged" = yes ] || echo "flows=? broken=? misdelivered=? duplicated=? untrue_refusals=?" \
+        "after_domain_out_ms=? result=failed"
     [ ${#pids[@]} -eq 0 ] || kill "${pids[@]}" 2>/dev/null || true
     for pid in ${pids[@]+"${pids[@]}"}; do
         timeout 5 tail --pid="$pid" -f /dev/null || kill -KILL "$pid" 2>/dev/null || true
@@ -185,5 +187,6 @@
 step "no new callers; sessions close"
 wait "$fabricPid"
 kill -0 "${balancerPids[0]}" 2>/dev/null && step "balancer-1 has not ended yet"
+isJudged=yes
 "$standin" verdict "$work/fabric.out" --after-zone-out "$afterZoneOut" \
     --min-flows $((seconds * 25))
