--- a/core/gossip_bench.cpp
+++ b/core/gossip_bench.cpp
@@ -36,7 +36,7 @@
 {
     const ControlMessage message = datagram();
     const std::size_t entries = std::get<Gossip>(message).records.size();
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(encodeMessage(message));
     state.SetItemsProcessed(std::int64_t(state.iterations() * entries));
 }
@@ -45,7 +45,7 @@
 {
     const auto bytes = encodeMessage(datagram());
     const std::size_t entries = datagram().records.size();
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(decodeMessage(bytes).value());
     state.SetItemsProcessed(std::int64_t(state.iterations() * entries));
 }
@@ -60,13 +60,13 @@
 void mergeKnownEntry(benchmark::State &state)
 {
     Membership membership({ .self = { .id = NodeId{ "balancer-0" } } });
-    const auto count = std::size_t(state.range(0));
+    const auto count = std::max<std::size_t>(1, std::size_t(state.range(0)));
     fillTable(membership, count);
     std::vector<NodeRecord> records;
     for (std::size_t i = 0; i < count; ++i)
         records.push_back(recordOf(i));
     std::size_t index = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(membership.merge(records[++index % count], start));
     state.SetItemsProcessed(std::int64_t(state.iterations()));
 }
@@ -74,10 +74,10 @@
 void mergeChangedEntry(benchmark::State &state)
 {
     Membership membership({ .self = { .id = NodeId{ "balancer-0" } } });
-    const auto count = std::size_t(state.range(0));
+    const auto count = std::max<std::size_t>(1, std::size_t(state.range(0)));
     fillTable(membership, count);
     std::uint32_t sequence = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         NodeRecord record = recordOf(sequence % count);
         record.sequence = ++sequence;
         benchmark::DoNotOptimize(membership.merge(record, start));
@@ -186,7 +186,7 @@
 // fleet).
 void fleetRun(benchmark::State &state)
 {
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const int count = int(state.range(0));
         Fleet fleet(count);
         state.counters["steadyBytes"] = fleet.balancerRate(60s, [] {});
