Give the balancer's monitor its isJoined source

Cause: MonitorSources gained isJoined with the joining rule of gossip, but Balancer::Parts didn't set it, so the first onTimer of every Balancer threw std::bad_function_call. Change: pass GossipSpread::isJoined. Conclusion: a new source needs a use through Balancer to be noticed; the scenarios are that use.

--- a/core/balancer.cpp
+++ b/core/balancer.cpp
@@ -56,7 +56,8 @@
 
 MonitorSources Balancer::Parts::monitorSources()
 {
-    return { .configuration = [this] { return this->spread.current()->version(); },
+    return { .isJoined = [this] { return this->gossip.isJoined(); },
+             .configuration = [this] { return this->spread.current()->version(); },
              .services = [this](const GroupName &group) { return this->routes.digests(group); },
              .members = [this](ServiceId service) { return this->routes.members(service); },
              .holdingsDigest =
