Add scripted scenarios on a fake clock

Cause: the guarantees G1 to G10 were covered by unit tests of single classes only. Change: library scenario with language, event queue, links, store model, machines, operators and measures around the real Balancer, Agent and Publisher; the caller, server and fabric models are those of the stand-in, which do no I/O. The fabric accepts caller groups without arrivals and with later ones. Load that starts at full rate on a cold fleet explained part of the refusals, so callers now arrive in steps.

--- /dev/null
+++ b/scenario/changes.cpp
@@ -0,0 +1,149 @@
+#include "scenario/changes.h"
+
+#include <algorithm>
+
+namespace cactusdeck::scenario {
+
+namespace {
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+Changes::Changes(World &ownWorld, StoreModel &ownStore)
+    : world(ownWorld)
+    , store(ownStore)
+{
+    this->store.onHeadWritten = [this](const std::string &value) { this->onHeadWritten(value); };
+}
+
+template <typename Start>
+void Changes::begin(Start start)
+{
+    Operator &user = this->operators.emplace_back();
+    const std::string changeId = "change-" + std::to_string(this->operators.size());
+    user.calls = std::make_unique<StoreCalls>(
+            StoreCallOptions{ .seed = this->world.random()(), .callsPerSecond = 200 });
+    user.publisher = std::make_unique<Publisher>(
+            *user.calls, PublisherOptions{ .changeId = changeId,
+                                           .author = "operator",
+                                           .reason = "scenario",
+                                           .knownZones = this->knownZones });
+    Outbox outbox;
+    start(*user.publisher, outbox);
+    this->carryOut(user, outbox);
+}
+
+void Changes::publish(const std::vector<ServiceContract> &contracts)
+{
+    this->begin([&](Publisher &publisher, Outbox &outbox) {
+        publisher.publish(contracts, this->world.now(), outbox);
+    });
+}
+
+void Changes::setZone(const std::string &zone, ZoneState state)
+{
+    this->begin([&](Publisher &publisher, Outbox &outbox) {
+        publisher.setZone({ zone }, state, this->world.now(), outbox);
+    });
+}
+
+void Changes::carryOut(Operator &user, Outbox &outbox)
+{
+    for (const StoreCall &call : outbox.store) {
+        this->store.execute(call, [this, &user](const StoreAnswer &answer) {
+            Outbox next;
+            if (!user.publisher->outcome())
+                user.publisher->onAnswer(answer, this->world.now(), next);
+            this->carryOut(user, next);
+        });
+    }
+    outbox.clear();
+}
+
+void Changes::countOutcome(Operator &user)
+{
+    const auto &outcome = user.publisher->outcome();
+    if (!outcome || user.isCounted)
+        return;
+    user.isCounted = true;
+    ++this->outcomes[outcome->result];
+    // The operator was told that the change is in effect.
+    const auto commit = this->commits.find(outcome->version);
+    if (outcome->result == PublishResult::Accepted
+        && (commit == this->commits.end() || commit->second.changeId != outcome->changeId))
+        ++this->reverts;
+}
+
+void Changes::onHeadWritten(const std::string &value)
+{
+    const nlohmann::json head = nlohmann::json::parse(value);
+    const auto version = head.at("version").get<ConfigurationVersion>();
+    const auto changeId = head.at("changeId").get<std::string>();
+    const auto newest = this->commits.rbegin();
+    if (newest != this->commits.rend()
+        && (version < newest->first
+            || (version == newest->first && changeId != newest->second.changeId)))
+        ++this->reverts;
+    this->commits.try_emplace(version, Commit{ this->world.now(), changeId, false });
+    for (const auto &[zone, state] : head.at("zones").items())
+        this->onZone(zone, state.get<std::string>() == "out");
+}
+
+void Changes::tick(const std::vector<Machine *> &machines)
+{
+    for (Operator &user : this->operators) {
+        Outbox outbox;
+        if (!user.publisher->outcome())
+            user.publisher->onTimer(this->world.now(), outbox);
+        this->carryOut(user, outbox);
+        this->countOutcome(user);
+    }
+    this->follow(machines);
+    this->watchReverts(machines);
+}
+
+void Changes::follow(const std::vector<Machine *> &machines)
+{
+    for (auto &[version, commit] : this->commits) {
+        if (commit.isEverywhere)
+            continue;
+        commit.isEverywhere = true;
+        for (const Machine *machine : machines) {
+            const TimePoint since = std::max(commit.time, machine->freshSince);
+            if (machine->version() >= version || since > this->world.now())
+                continue;
+            commit.isEverywhere = false;
+            this->slowest = std::max(this->slowest, this->world.now() - since);
+        }
+    }
+}
+
+void Changes::watchReverts(const std::vector<Machine *> &machines)
+{
+    for (Machine *machine : machines) {
+        const ConfigurationVersion version = machine->version();
+        this->reverts += version < machine->highestVersion ? 1 : 0;
+        machine->highestVersion = std::max(machine->highestVersion, version);
+    }
+}
+
+void Changes::addTo(Measures &measures) const
+{
+    const auto count = [&](PublishResult result) {
+        const auto found = this->outcomes.find(result);
+        return found == this->outcomes.end() ? 0 : found->second;
+    };
+    measures["accepted"] = count(PublishResult::Accepted);
+    measures["conflicts"] = count(PublishResult::Conflict);
+    measures["not_accepted"] = count(PublishResult::NotAccepted);
+    measures["outcome_unknown"] = count(PublishResult::OutcomeUnknown);
+    measures["rejected"] = count(PublishResult::Rejected);
+    measures["in_force"] = secondsOf(this->slowest);
+    measures["reverts"] = this->reverts;
+}
+
+} // namespace cactusdeck::scenario
--- /dev/null
+++ b/scenario/changes.h
@@ -0,0 +1,71 @@
+#ifndef CACTUSDECK_SCENARIO_CHANGES_H
+#define CACTUSDECK_SCENARIO_CHANGES_H
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "core/publisher.h"
+#include "scenario/machine.h"
+#include "scenario/measures.h"
+#include "scenario/storemodel.h"
+
+// The operators with their publishers, and how their changes spread over the nodes.
+//
+//     Changes changes(world, store);
+//     changes.publish(contracts);
+//     changes.tick(machines);                    // every tickInterval
+
+namespace cactusdeck::scenario {
+
+class Changes
+{
+public:
+    Changes(World &ownWorld, StoreModel &ownStore);
+
+    void publish(const std::vector<ServiceContract> &contracts);
+    void setZone(const std::string &zone, ZoneState state);
+    void tick(const std::vector<Machine *> &machines);
+    void addTo(Measures &measures) const;
+
+    // Zones that operators may name.
+    std::vector<ZoneName> knownZones;
+    // The committed state of each zone that the head names.
+    std::function<void(const std::string &zone, bool isOut)> onZone;
+
+private:
+    struct Operator
+    {
+        std::unique_ptr<StoreCalls> calls;
+        std::unique_ptr<Publisher> publisher;
+        bool isCounted = false;
+    };
+    struct Commit
+    {
+        TimePoint time;
+        std::string changeId;
+        bool isEverywhere = false;
+    };
+
+    template <typename Start>
+    void begin(Start start);
+    void carryOut(Operator &user, Outbox &outbox);
+    void countOutcome(Operator &user);
+    void onHeadWritten(const std::string &value);
+    void follow(const std::vector<Machine *> &machines);
+    void watchReverts(const std::vector<Machine *> &machines);
+
+    World &world;
+    StoreModel &store;
+    std::list<Operator> operators;
+    std::map<ConfigurationVersion, Commit> commits;
+    std::map<PublishResult, int> outcomes;
+    Duration slowest{}; // from commit to the last node
+    int reverts = 0;
+};
+
+} // namespace cactusdeck::scenario
+
+#endif // CACTUSDECK_SCENARIO_CHANGES_H
--- /dev/null
+++ b/scenario/link.h
@@ -0,0 +1,58 @@
+#ifndef CACTUSDECK_SCENARIO_LINK_H
+#define CACTUSDECK_SCENARIO_LINK_H
+
+#include <array>
+#include <set>
+#include <string>
+
+#include "scenario/world.h"
+
+// The network between machines: loss, delay, duplication and cuts, apart for data and control.
+//
+//     Network network(world);
+//     network.link(Traffic::Control).loss = 0.2;
+//     network.cut("amman-a", Traffic::Control);
+//     network.carry(from, to, Traffic::Control, [=] { ... });
+
+namespace cactusdeck::scenario {
+
+enum class Traffic : std::uint8_t { Data, Control };
+
+struct Link
+{
+    double loss = 0;
+    double duplication = 0;
+    Duration delay = std::chrono::milliseconds(1);
+    Duration jitter = std::chrono::microseconds(200); // added, uniform; reorders packets
+};
+
+// Where a packet starts or ends. The fabric and the store are places without a zone.
+struct Place
+{
+    std::string machine;
+    std::string zone;
+};
+
+class Network
+{
+public:
+    explicit Network(World &owner)
+        : world(owner)
+    { }
+
+    Link &link(Traffic traffic) { return this->links[std::size_t(traffic)]; }
+    // Separates a zone or a machine from everything else.
+    void cut(const std::string &name, Traffic traffic) { this->cuts.insert({ name, traffic }); }
+    void heal(const std::string &name, Traffic traffic) { this->cuts.erase({ name, traffic }); }
+    bool isCut(const Place &from, const Place &to, Traffic traffic) const;
+    void carry(const Place &from, const Place &to, Traffic traffic, const World::Action &deliver);
+
+private:
+    World &world;
+    std::array<Link, 2> links;
+    std::set<std::pair<std::string, Traffic>> cuts;
+};
+
+} // namespace cactusdeck::scenario
+
+#endif // CACTUSDECK_SCENARIO_LINK_H
--- /dev/null
+++ b/scenario/machine.h
@@ -0,0 +1,111 @@
+#ifndef CACTUSDECK_SCENARIO_MACHINE_H
+#define CACTUSDECK_SCENARIO_MACHINE_H
+
+#include <deque>
+#include <functional>
+#include <optional>
+
+#include "core/agent.h"
+#include "core/balancer.h"
+#include "scenario/link.h"
+#include "standin/backendserver.h"
+
+// One machine: a balancer, or an agent with its backend server. It drives the real state machine
+// and hands what that sends to the site.
+//
+//     Machine machine({ "b1", "amman-a" }, balancerOptions, site);
+//     machine.start();
+//     machine.pause(std::chrono::seconds(3));    // what arrives meanwhile waits in its sockets
+//     machine.stop();                            // planned; hasStopped() becomes true
+
+namespace cactusdeck::scenario {
+
+class Machine;
+
+// What a machine needs of its surroundings.
+struct Surroundings
+{
+    World &world;
+    std::function<void(Machine &, Endpoint, std::vector<std::uint8_t>)> sendData;
+    std::function<void(Machine &, const ControlSend &)> sendControl;
+    std::function<void(Machine &, const StoreCall &)> callStore;
+    std::function<void(const Machine &, const Event &)> log;
+};
+
+class Machine : private DataSink
+{
+public:
+    Machine(Place ownPlace, const BalancerOptions &options, Surroundings &owner);
+    Machine(Place ownPlace, const AgentOptions &options, const BackendOptions &backend,
+            Surroundings &owner);
+
+    void start();
+    void tick();
+    void tickServer();
+    void pollHealth();
+    void stop();
+    void pause(Duration duration);
+    // Replaces the agent's process; the server keeps its connections.
+    void restartAgent();
+
+    void receiveData(const std::vector<std::uint8_t> &bytes);
+    void receiveControl(const ControlMessage &message);
+    void receiveStoreAnswer(const StoreAnswer &answer);
+
+    const Place &place() const { return this->where; }
+    Endpoint data() const { return this->dataEndpoint; }
+    Endpoint control() const { return this->controlEndpoint; }
+    bool isBalancer() const { return this->balancer.has_value(); }
+    bool isPaused() const { return this->world().now() < this->pausedUntil; }
+    bool hasStopped() const;
+    bool isUp() const { return this->up; }
+    // Power loss; pending events of the machine have no effect any more.
+    void fail() { this->up = false; }
+    ConfigurationVersion version() const;
+    nlohmann::json status() const;
+    BackendServer *backend() { return this->server ? &*this->server : nullptr; }
+    double speed() const { return this->serverSpeed; }
+
+    // When the machine started, resumed or was last connected again.
+    TimePoint freshSince;
+    std::optional<TimePoint> stoppedAt; // when stop() was called
+    std::optional<TimePoint> lastNewFlow; // a SYN reached the server
+    ConfigurationVersion highestVersion = 0;
+    std::uint64_t controlBytes = 0;
+    std::deque<std::pair<TimePoint, std::size_t>> controlWindow;
+    std::size_t controlWindowBytes = 0;
+
+private:
+    using Input = std::function<void()>;
+
+    World &world() const { return this->surroundings->world; }
+    TimePoint now() const { return this->world().now(); }
+    void receive(const Input &input);
+    void carryOut();
+    void sendFromServer(PacketSends &sends);
+
+    void toServer(std::span<const std::uint8_t> packet) override;
+    void toFabric(std::span<const std::uint8_t> packet) override;
+    void toNode(Endpoint to, std::span<const std::uint8_t> header,
+                std::span<const std::uint8_t> packet) override;
+
+    Place where;
+    Surroundings *surroundings;
+    Endpoint dataEndpoint;
+    Endpoint controlEndpoint;
+    std::optional<AgentOptions> agentOptions;
+    std::optional<Balancer> balancer;
+    std::optional<Agent> agent;
+    std::optional<BackendServer> server;
+    double serverSpeed = 1;
+    bool up = true;
+    TimePoint pausedUntil;
+    std::vector<Input> waiting; // arrived while paused
+    Outbox outbox;
+};
+
+inline constexpr Endpoint fabricEndpoint{ 0x0AFF0001, 7000 }; // 10.255.0.1
+
+} // namespace cactusdeck::scenario
+
+#endif // CACTUSDECK_SCENARIO_MACHINE_H
--- /dev/null
+++ b/scenario/site.cpp
@@ -0,0 +1,352 @@
+#include "scenario/site.h"
+
+#include <ostream>
+
+#include "core/frame.h"
+
+namespace cactusdeck::scenario {
+
+namespace {
+
+constexpr std::chrono::milliseconds fastInterval{ 5 }; // timers of callers and servers
+constexpr std::chrono::milliseconds healthInterval{ 500 };
+constexpr std::chrono::seconds rateWindow{ 10 };
+constexpr std::uint32_t balancerNetwork = 0x0A010000; // 10.1.0.0
+constexpr std::uint32_t serverNetwork = 0x0A020000; // 10.2.0.0
+constexpr std::uint16_t dataPort = 7100;
+constexpr std::uint16_t controlPort = 7101;
+constexpr std::uint32_t firstSeeds = 3; // of nodes that start before any balancer
+constexpr std::size_t flowCacheEntries = 1 << 14;
+
+const Place outside{ "fabric", "" };
+const Place storePlace{ "store", "" };
+
+} // namespace
+
+Site::Site(SiteOptions siteOptions)
+    : world(siteOptions.seed)
+    , options(siteOptions)
+    , surroundings{ this->world,
+                    [this](Machine &from, Endpoint to, std::vector<std::uint8_t> bytes) {
+                        this->sendData(from, to, std::move(bytes));
+                    },
+                    [this](Machine &from, const ControlSend &send) {
+                        this->sendControl(from, send);
+                    },
+                    [this](Machine &from, const StoreCall &call) { this->callStore(from, call); },
+                    [this](const Machine &from, const Event &event) { this->log(from, event); } }
+{
+    this->changes.onZone = [this](const std::string &name, bool isOut) {
+        if (isOut)
+            this->zones[name].takeOut(this->world.now());
+        else
+            this->zones[name].putIn();
+    };
+}
+
+void Site::addZone(const std::string &name)
+{
+    this->zones.try_emplace(name);
+    this->changes.knownZones.push_back({ name });
+}
+
+void Site::addService(const ServiceContract &contract)
+{
+    this->contracts[contract.service.value] = contract;
+}
+
+std::vector<Endpoint> Site::seeds() const
+{
+    std::vector<Endpoint> result;
+    for (const auto &machine : this->machines) {
+        if (machine->isUp() && machine->isBalancer())
+            result.push_back(machine->control());
+    }
+    for (std::uint32_t i = 1; result.empty() && !this->hasBegun && i <= firstSeeds; ++i)
+        result.push_back({ balancerNetwork + i, controlPort });
+    return result;
+}
+
+Machine &Site::launch(std::unique_ptr<Machine> machine)
+{
+    Machine &started = *this->machines.emplace_back(std::move(machine));
+    this->endpoints[started.data()] = &started;
+    this->endpoints[started.control()] = &started;
+    started.start();
+    return started;
+}
+
+Machine &Site::startBalancer(const std::string &name, const std::string &zone)
+{
+    const std::uint32_t address = balancerNetwork + this->nextBalancer++;
+    return this->launch(
+            std::make_unique<Machine>(Place{ name, zone },
+                                      BalancerOptions{ .id = { name },
+                                                       .zone = { zone },
+                                                       .data = { address, dataPort },
+                                                       .control = { address, controlPort },
+                                                       .fabric = fabricEndpoint,
+                                                       .seeds = this->seeds(),
+                                                       .seed = this->world.random()(),
+                                                       .flowCacheEntries = flowCacheEntries,
+                                                       .placement = this->options.placement },
+                                      this->surroundings));
+}
+
+Machine &Site::startServer(const std::string &name, const std::string &zone,
+                           const std::string &service, BackendOptions backend,
+                           const std::string &reusing)
+{
+    std::uint32_t address = serverNetwork + this->nextServer++;
+    for (const auto &machine : this->machines) {
+        if (!reusing.empty() && machine->place().machine == reusing)
+            address = machine->data().address;
+    }
+    const ServiceContract &contract = this->contracts.at(service);
+    backend.name = name;
+    backend.zone = zone;
+    backend.seed = this->world.random()();
+    backend.slots = contract.slots;
+    backend.connections = contract.connections;
+    backend.coldSlots = contract.coldSlots;
+    for (const ServiceAddress &serviceAddress : contract.addresses)
+        backend.addresses.push_back(serviceAddress.endpoint);
+    Machine &machine = this->launch(
+            std::make_unique<Machine>(Place{ name, zone },
+                                      AgentOptions{ .id = { name },
+                                                    .zone = { zone },
+                                                    .data = { address, dataPort },
+                                                    .control = { address, controlPort },
+                                                    .group = contract.groups.front(),
+                                                    .seeds = this->seeds(),
+                                                    .seed = this->world.random()() },
+                                      backend, this->surroundings));
+    this->serviceOf[&machine] = service;
+    return machine;
+}
+
+Machine &Site::machine(const std::string &name)
+{
+    for (const auto &machine : this->machines) {
+        if (machine->isUp() && machine->place().machine == name)
+            return *machine;
+    }
+    throw std::out_of_range("no machine \"" + name + "\" is up");
+}
+
+Machine *Site::at(Endpoint endpoint)
+{
+    const auto found = this->endpoints.find(endpoint);
+    return found == this->endpoints.end() || !found->second->isUp() ? nullptr : found->second;
+}
+
+std::vector<Machine *> Site::upMachines()
+{
+    std::vector<Machine *> result;
+    for (const auto &machine : this->machines) {
+        if (machine->isUp())
+            result.push_back(machine.get());
+    }
+    return result;
+}
+
+void Site::publish()
+{
+    std::vector<ServiceContract> all;
+    for (const auto &[name, contract] : this->contracts)
+        all.push_back(contract);
+    this->changes.publish(all);
+}
+
+void Site::setZone(const std::string &name, ZoneState state)
+{
+    this->changes.setZone(name, state);
+    this->fabric->markZone(name, state == ZoneState::Out, this->world.now());
+}
+
+void Site::heal(const std::string &name, Traffic traffic)
+{
+    this->network.heal(name, traffic);
+    for (Machine *machine : this->upMachines()) {
+        if (machine->place().zone == name || machine->place().machine == name)
+            machine->freshSince = this->world.now();
+    }
+}
+
+void Site::begin()
+{
+    this->hasBegun = true;
+    this->fabricOptions.seed = this->world.random()();
+    this->fabric = std::make_unique<Fabric>(this->fabricOptions);
+    this->publish();
+    this->tick();
+    this->fastTick();
+}
+
+void Site::run(Duration duration)
+{
+    if (!this->hasBegun)
+        this->begin();
+    this->world.runUntil(this->world.now() + duration);
+}
+
+void Site::finish()
+{
+    this->fabric->finish(this->world.now());
+    while (!this->fabric->isDone(this->world.now()))
+        this->run(tickInterval);
+}
+
+void Site::tick()
+{
+    const auto tickCount = this->world.elapsed() / tickInterval;
+    for (Machine *machine : this->upMachines()) {
+        if (tickCount % (healthInterval / tickInterval) == 0)
+            machine->pollHealth();
+        machine->tick();
+        if (machine->hasStopped())
+            machine->fail();
+    }
+    this->changes.tick(this->upMachines());
+    this->world.after(tickInterval, [this] { this->tick(); });
+}
+
+void Site::fastTick()
+{
+    for (Machine *machine : this->upMachines())
+        machine->tickServer();
+    if (this->world.elapsed() >= this->options.trafficAfter) {
+        PacketSends sends;
+        this->fabric->onTimer(this->world.now(), sends);
+        this->fromFabric(sends);
+    }
+    this->world.after(fastInterval, [this] { this->fastTick(); });
+}
+
+void Site::fromFabric(PacketSends &sends)
+{
+    for (PacketSend &send : sends) {
+        const Machine *to = this->at(send.to);
+        if (to == nullptr)
+            continue;
+        this->network.carry(outside, to->place(), Traffic::Data,
+                            [this, endpoint = send.to, packet = std::move(send.packet)] {
+                                this->deliverData(endpoint, packet);
+                            });
+    }
+}
+
+void Site::deliverData(Endpoint to, const std::vector<std::uint8_t> &bytes)
+{
+    Machine *machine = this->at(to);
+    if (machine == nullptr)
+        return;
+    if (frameKindOf(bytes) != FrameKind::Reply)
+        this->zones[machine->place().zone].onPacket(this->world.now());
+    machine->receiveData(bytes);
+}
+
+void Site::sendData(Machine &from, Endpoint to, std::vector<std::uint8_t> bytes)
+{
+    if (this->isSuppressed(bytes))
+        return;
+    if (to == fabricEndpoint) {
+        this->network.carry(from.place(), outside, Traffic::Data,
+                            [this, packet = std::move(bytes)] {
+                                PacketSends sends;
+                                this->fabric->onDatagram(packet, this->world.now(), sends);
+                                this->fromFabric(sends);
+                            });
+        return;
+    }
+    const Machine *target = this->at(to);
+    if (target == nullptr)
+        return;
+    this->network.carry(from.place(), target->place(), Traffic::Data,
+                        [this, to, frame = std::move(bytes)] { this->deliverData(to, frame); });
+}
+
+void Site::sendControl(Machine &from, const ControlSend &send)
+{
+    const std::size_t size = encodedSize(send.message);
+    this->chargeControl(from, size);
+    const Machine *target = this->at(send.to);
+    if (target == nullptr || this->isSuppressed(send.message))
+        return;
+    const World::Action deliver = [this, send] {
+        if (Machine *machine = this->at(send.to))
+            machine->receiveControl(send.message);
+    };
+    // Messages above a datagram travel over TCP, which resends what is lost.
+    if (size <= maxDatagram)
+        this->network.carry(from.place(), target->place(), Traffic::Control, deliver);
+    else if (!this->network.isCut(from.place(), target->place(), Traffic::Control))
+        this->world.after(3 * this->network.link(Traffic::Control).delay, deliver);
+}
+
+void Site::chargeControl(Machine &from, std::size_t size)
+{
+    from.controlBytes += size;
+    from.controlWindow.emplace_back(this->world.now(), size);
+    from.controlWindowBytes += size;
+    while (from.controlWindow.front().first <= this->world.now() - rateWindow) {
+        from.controlWindowBytes -= from.controlWindow.front().second;
+        from.controlWindow.pop_front();
+    }
+    this->controlRate =
+            std::max(this->controlRate, double(from.controlWindowBytes) / rateWindow.count());
+}
+
+// Over TCP, so that only a cut loses calls and answers.
+void Site::callStore(Machine &from, const StoreCall &call)
+{
+    if (this->network.isCut(from.place(), storePlace, Traffic::Control))
+        return;
+    Machine *sender = &from;
+    this->store.execute(call, [this, sender](const StoreAnswer &answer) {
+        if (!this->network.isCut(storePlace, sender->place(), Traffic::Control))
+            sender->receiveStoreAnswer(answer);
+    });
+}
+
+void Site::log(const Machine &from, const Event &event)
+{
+    if (this->options.log == nullptr || event.level == Level::Debug)
+        return;
+    std::ostream &out = *this->options.log;
+    out << "time=" << std::chrono::duration<double>(this->world.elapsed()).count()
+        << " node=" << from.place().machine << " event=" << event.name;
+    for (const auto &[key, value] : event.fields)
+        out << ' ' << key << '=' << value;
+    out << '\n';
+}
+
+bool Site::isSuppressed(std::vector<std::uint8_t> &frame) const
+{
+    const auto kind = frameKindOf(frame);
+    if (this->options.without == Mechanism::Replies)
+        return kind == FrameKind::Reply;
+    if (this->options.without != Mechanism::Chain || kind != FrameKind::Forward)
+        return false;
+    auto forward = decodeForward(frame);
+    if (!forward || forward->hopIndex > 0)
+        return forward.has_value();
+    const std::vector<std::uint8_t> packet(forward->packet.begin(), forward->packet.end());
+    forward->hopCount = 1;
+    FrameBuffer buffer;
+    const auto header = encodeForward(*forward, buffer);
+    frame.assign(header.begin(), header.end());
+    frame.insert(frame.end(), packet.begin(), packet.end());
+    return false;
+}
+
+bool Site::isSuppressed(const ControlMessage &message) const
+{
+    if (this->options.without == Mechanism::Holdings)
+        return std::holds_alternative<HoldingsReport>(message);
+    if (this->options.without == Mechanism::Notices)
+        return std::holds_alternative<ConfigurationNotice>(message);
+    return this->options.without == Mechanism::Gossip && std::holds_alternative<Gossip>(message);
+}
+
+} // namespace cactusdeck::scenario
--- /dev/null
+++ b/scenario/storemodel.h
@@ -0,0 +1,71 @@
+#ifndef CACTUSDECK_SCENARIO_STOREMODEL_H
+#define CACTUSDECK_SCENARIO_STOREMODEL_H
+
+#include <functional>
+#include <list>
+#include <map>
+
+#include "core/outbox.h"
+#include "scenario/world.h"
+
+// The platform's object store on the fake clock: conditional writes, watches and faults.
+//
+//     StoreModel store(world);
+//     store.execute(call, [](const StoreAnswer &answer) { ... });
+//     store.isDown = true;
+//
+// A call that reaches a store that is down fails without effect. A lost answer is lost after the
+// write took effect.
+
+namespace cactusdeck::scenario {
+
+class StoreModel
+{
+public:
+    using Reply = std::function<void(const StoreAnswer &)>;
+
+    explicit StoreModel(World &owner)
+        : world(owner)
+    { }
+
+    void execute(const StoreCall &call, const Reply &reply);
+
+    bool isDown = false;
+    Duration delay = std::chrono::milliseconds(5); // of each answer
+    int answersToLose = 0; // of the next writes of the head
+    int readsToStale = 0; // of the next reads of objects that were replaced before
+    std::function<void(const std::string &value)> onHeadWritten;
+    std::uint64_t calls = 0;
+
+    std::string value(const std::string &key) const;
+
+private:
+    struct Object
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        std::string previous;
+    };
+    struct Watch
+    {
+        std::uint64_t number = 0;
+        StoreCall call;
+        Reply reply;
+    };
+
+    void answer(const StoreCall &call, StoreStatus status, const Object &object,
+                const Reply &reply);
+    void read(const StoreCall &call, const Reply &reply);
+    void write(const StoreCall &call, const Reply &reply);
+    void watch(const StoreCall &call, const Reply &reply);
+    void wake(const std::string &key);
+
+    World &world;
+    std::map<std::string, Object> objects;
+    std::list<Watch> watches;
+    std::uint64_t nextWatch = 0;
+};
+
+} // namespace cactusdeck::scenario
+
+#endif // CACTUSDECK_SCENARIO_STOREMODEL_H
--- /dev/null
+++ b/scenario/world.cpp
@@ -0,0 +1,28 @@
+#include "scenario/world.h"
+
+namespace cactusdeck::scenario {
+
+bool World::chance(double probability)
+{
+    return probability > 0
+           && std::uniform_real_distribution<double>(0, 1)(this->generator) < probability;
+}
+
+void World::after(Duration delay, Action action)
+{
+    this->events.push({ this->time + delay, this->nextNumber++, std::move(action) });
+}
+
+void World::runUntil(TimePoint end)
+{
+    while (!this->events.empty() && this->events.top().time <= end) {
+        // top() is const only to protect the order, and the event is removed before it runs.
+        Event event = std::move(const_cast<Event &>(this->events.top()));
+        this->events.pop();
+        this->time = event.time;
+        event.action();
+    }
+    this->time = end;
+}
+
+} // namespace cactusdeck::scenario
--- a/standin/fabric.cpp
+++ b/standin/fabric.cpp
@@ -85,8 +85,8 @@
     }
     if (!this->isStarted && this->balancers.size() >= this->options.minBalancers) {
         this->isStarted = true;
-        this->nextArrivals.assign(this->options.groups.size(), now);
         for (const CallerGroup &group : this->options.groups) {
+            this->nextArrivals.push_back(now + group.after);
             for (std::size_t i = 0; i < group.initial; ++i)
                 this->startCaller(group, now, out);
         }
@@ -109,8 +109,10 @@
 {
     for (std::size_t i = 0; i < this->options.groups.size(); ++i) {
         const CallerGroup &group = this->options.groups[i];
+        if (group.arrivalsPerSecond <= 0)
+            continue;
         std::exponential_distribution<double> gap(group.arrivalsPerSecond);
-        while (group.arrivalsPerSecond > 0 && this->nextArrivals[i] <= now) {
+        while (this->nextArrivals[i] <= now) {
             this->startCaller(group, now, out);
             this->nextArrivals[i] += std::chrono::duration_cast<Duration>(
                     std::chrono::duration<double>(gap(this->random)));
--- a/standin/fabric.h
+++ b/standin/fabric.h
@@ -35,6 +35,7 @@
     std::size_t minAnswer = 200; // bytes
     std::size_t maxAnswer = 2000;
     std::chrono::milliseconds pause{ 500 }; // between an answer and the next request
+    Duration after{}; // arrivals begin so much later than the traffic
 };
 
 struct FabricOptions
