Keep server connections until a restarted agent knows its configuration

Cause: adoption probes open when the first configuration is applied. A packet of the server before that was answered with a reset to the server, so flows with a response under way at the restart of their agent were lost. Change: Agent::start opens the probes when the server may hold flows; the first configuration then sets their end.

--- a/core/agent.cpp
+++ b/core/agent.cpp
@@ -260,6 +260,10 @@
 {
     Parts &p = *this->parts;
     p.startedAt = now;
+    // Until the configuration tells how long a flow may have been idle, a packet of the server may
+    // belong to a flow of the earlier run, and its connection must not be reset.
+    if (p.state.options.serverMayHoldFlows)
+        p.state.probes.open(TimePoint::max());
     p.state.admission.start(now);
     p.spread.setPeers(p.state.options.seeds);
     p.announcer.start(now, outbox);
