--- a/scenario/changes.cpp
+++ b/scenario/changes.cpp
@@ -31,7 +31,8 @@
             *user.calls, PublisherOptions{ .changeId = changeId,
                                            .author = "operator",
                                            .reason = "scenario",
-                                           .knownZones = this->knownZones });
+                                           .knownZones = this->knownZones,
+                              .newestKnown = this->newestInForce });
     Outbox outbox;
     start(*user.publisher, outbox);
     this->carryOut(user, outbox);
@@ -128,6 +129,7 @@
         const ConfigurationVersion version = machine->version();
         this->reverts += version < machine->highestVersion ? 1 : 0;
         machine->highestVersion = std::max(machine->highestVersion, version);
+        this->newestInForce = std::max(this->newestInForce, version);
     }
 }
 
--- a/scenario/changes.h
+++ b/scenario/changes.h
@@ -64,6 +64,7 @@
     std::map<PublishResult, int> outcomes;
     Duration slowest{}; // from commit to the last node
     int reverts = 0;
+    ConfigurationVersion newestInForce = 0;
 };
 
 } // namespace cactusdeck::scenario
--- a/scenario/machine.cpp
+++ b/scenario/machine.cpp
@@ -109,8 +109,9 @@
     this->freshSince = this->pausedUntil;
 }
 
-void Machine::restartAgent()
+void Machine::restartAgent(const std::vector<Endpoint> &seeds)
 {
+    this->agentOptions->seeds = seeds;
     ++this->agentOptions->incarnation;
     this->agentOptions->serverMayHoldFlows = true;
     this->agent.emplace(*this->agentOptions);
--- a/scenario/machine.h
+++ b/scenario/machine.h
@@ -46,7 +46,7 @@
     void stop();
     void pause(Duration duration);
     // Replaces the agent's process; the server keeps its connections.
-    void restartAgent();
+    void restartAgent(const std::vector<Endpoint> &seeds);
 
     void receiveData(const std::vector<std::uint8_t> &bytes);
     void receiveControl(const ControlMessage &message);
--- a/scenario/runner.cpp
+++ b/scenario/runner.cpp
@@ -254,7 +254,7 @@
 
 void Runner::restart(const Statement &statement)
 {
-    this->site.machine(statement.name(1)).restartAgent();
+    this->site.machine(statement.name(1)).restartAgent(this->site.seeds());
 }
 
 void Runner::pause(const Statement &statement)
--- a/scenario/site.h
+++ b/scenario/site.h
@@ -62,6 +62,8 @@
     bool hasZone(const std::string &name) const { return this->zones.contains(name); }
     void addZone(const std::string &name);
 
+    // Control endpoints of balancers, as settings would name them at this time.
+    std::vector<Endpoint> seeds() const;
     void publish();
     void setZone(const std::string &name, ZoneState state);
     void heal(const std::string &name, Traffic traffic);
@@ -89,7 +91,6 @@
     bool isSuppressed(std::vector<std::uint8_t> &frame) const;
     bool isSuppressed(const ControlMessage &message) const;
     Machine &launch(std::unique_ptr<Machine> machine);
-    std::vector<Endpoint> seeds() const;
     std::vector<Machine *> upMachines();
     Machine *at(Endpoint endpoint);
     std::map<std::string, std::uint64_t> completions();
--- a/scenario/sitemeasures.cpp
+++ b/scenario/sitemeasures.cpp
@@ -96,6 +96,15 @@
         if (machine->backend() && machine->stoppedAt && machine->lastNewFlow)
             newAfterDrain = std::max(newAfterDrain, *machine->lastNewFlow - *machine->stoppedAt);
     }
+    if (this->options.log != nullptr) {
+        for (Machine *machine : this->upMachines())
+            *this->options.log << "status=" << machine->status() << '\n';
+        for (nlohmann::json server : servers) {
+            server.erase("executed");
+            server.erase("accepted");
+            *this->options.log << "server=" << server << '\n';
+        }
+    }
     this->addFabricMeasures(measures, this->fabric->report(servers));
     this->changes.addTo(measures);
     Duration lastPacket{};
