--- a/core/announcer.cpp
+++ b/core/announcer.cpp
@@ -16,7 +16,8 @@
 constexpr std::chrono::seconds resendLimit{ 2 };
 
 // Two monitors whose tables differ for a moment would otherwise cause a request with every answer.
-constexpr std::chrono::milliseconds requestInterval{ 300 };
+constexpr std::chrono::milliseconds minRequestDelay{ 300 };
+constexpr std::chrono::milliseconds maxRequestDelay{ 2400 };
 
 // Reports are repeated to a monitor at this interval until its digest agrees.
 constexpr std::chrono::milliseconds reportInterval{ 1000 };
@@ -47,7 +48,7 @@
     } else if (const auto *members = std::get_if<Members>(&message)) {
         this->onMembers(*members);
     } else if (const auto *probe = std::get_if<Probe>(&message)) {
-        this->budget.send(ControlPriority::Liveness, probe->replyTo,
+        this->budget.send(ControlPriority::Probes, probe->replyTo,
                           ProbeAck{ .from = this->record.id,
                                     .incarnation = this->record.incarnation,
                                     .number = probe->number,
@@ -92,7 +93,7 @@
 
 void Announcer::sendHeartbeat(Endpoint to, TimePoint now, Outbox &outbox)
 {
-    this->budget.send(ControlPriority::Liveness, to, Heartbeat{ this->record }, now, outbox);
+    this->budget.send(ControlPriority::Heartbeats, to, Heartbeat{ this->record }, now, outbox);
 }
 
 void Announcer::heartbeatSeeds(TimePoint now, Outbox &outbox)
@@ -155,11 +156,15 @@
 void Announcer::compareDigests(const HeartbeatAck &ack, TimePoint now, Outbox &outbox)
 {
     for (const ServiceDigest &service : ack.services) {
-        MemberList &list = this->lists[service.service];
+        MemberList &list =
+                this->lists
+                        .try_emplace(service.service, MemberList{ .requestDelay = minRequestDelay })
+                        .first->second;
         const bool known = list.known && list.digest == service.digest;
         if (known || now < list.nextRequest)
             continue;
-        list.nextRequest = now + requestInterval;
+        list.nextRequest = now + list.requestDelay;
+        list.requestDelay = std::min<Duration>(2 * list.requestDelay, maxRequestDelay);
         this->budget.send(
                 ControlPriority::Changes, ack.monitor,
                 MembersRequest{ .replyTo = this->record.control, .service = service.service }, now,
@@ -174,6 +179,7 @@
         || members.piece >= members.pieces)
         return;
     MemberList &list = found->second;
+    list.requestDelay = minRequestDelay;
     if (list.partialDigest != members.digest)
         list.pieces.clear();
     list.partialDigest = members.digest;
--- a/core/gossip.cpp
+++ b/core/gossip.cpp
@@ -21,6 +21,9 @@
 // Candidates considered for one datagram; more do not fit.
 constexpr std::size_t itemsPerDatagram = 48;
 
+// A joiner has joined when all but one in so many nodes are known.
+constexpr std::uint64_t joinedShareDivisor = 50;
+
 // Balancers that a joiner asks at a time.
 constexpr std::size_t joinPeers = 3;
 
@@ -40,6 +43,14 @@
     return a.incarnation == b.incarnation && a.sequence == b.sequence && a.liveness == b.liveness;
 }
 
+// Deaths first, then suspicions and balancers: these carry duties, and repair needs peers.
+int urgencyOf(const NodeRecord &record)
+{
+    if (isGone(record))
+        return 2;
+    return record.role == Role::Balancer || record.liveness == Liveness::Suspect ? 1 : 0;
+}
+
 std::vector<std::uint8_t> differingShards(const std::vector<std::uint32_t> &a,
                                           const std::vector<std::uint32_t> &b)
 {
@@ -150,7 +161,7 @@
         // The sender may believe this node dead, and then never chooses it as a peer.
         Gossip answer = this->emptyGossip();
         answer.records.push_back(this->membership.self());
-        this->budget.send(ControlPriority::Liveness, sender->control, answer, now, outbox);
+        this->budget.send(ControlPriority::Probes, sender->control, answer, now, outbox);
     }
 }
 
@@ -211,7 +222,7 @@
     return copies != 0;
 }
 
-// The next changes to send: deaths first, then what was sent least often.
+// The next changes to send: the most urgent first, then what was sent least often.
 std::vector<GossipSpread::Item> GossipSpread::pendingItems(bool deathsOnly)
 {
     const int limit = this->copyLimit();
@@ -225,7 +236,7 @@
     for (const auto &[id, sent] : this->records) {
         const NodeRecord *record = this->membership.find(id);
         if (isGone(*record) || !deathsOnly)
-            items.push_back({ .death = isGone(*record), .sent = sent, .record = record });
+            items.push_back({ .urgency = urgencyOf(*record), .sent = sent, .record = record });
     }
     for (const auto &[key, sent] : this->reports) {
         if (!deathsOnly)
@@ -233,7 +244,7 @@
     }
     const auto last = items.begin() + std::ptrdiff_t(std::min(items.size(), itemsPerDatagram));
     std::partial_sort(items.begin(), last, items.end(), [](const Item &a, const Item &b) {
-        return a.death != b.death ? a.death : a.sent < b.sent;
+        return a.urgency != b.urgency ? a.urgency > b.urgency : a.sent < b.sent;
     });
     items.erase(last, items.end());
     return items;
@@ -308,13 +319,14 @@
 void GossipSpread::exchangeDigests(Endpoint with, bool answer, TimePoint now, Outbox &outbox)
 {
     const NodeRecord &self = this->membership.self();
-    this->budget.send(ControlPriority::Repair, with,
+    this->budget.send(ControlPriority::Probes, with,
                       DigestExchange{ .from = self.id,
                                       .replyTo = self.control,
                                       .configuration = this->configuration,
                                       .shards = this->shardDigests(),
                                       .answer = answer,
-                                      .joining = !this->joined },
+                                      .joining = !this->joined,
+                                      .size = std::uint32_t(this->membership.size()) },
                       now, outbox);
 }
 
@@ -353,11 +365,17 @@
         this->exchangeDigests(digests.replyTo, true, now, outbox);
     this->tellSender(digests.from, digests.replyTo, now, outbox);
     if (digests.answer && !this->joined) {
-        this->joined = differing.empty();
+        // Digests may never be equal while nodes come and go.
+        const std::uint64_t known = this->membership.size();
+        const bool trusted = !digests.joining || now >= this->joinLimit;
+        const bool complete = known * joinedShareDivisor >= digests.size * (joinedShareDivisor - 1);
+        this->joined = differing.empty() || (trusted && complete);
         this->joinDelay = this->options.joinRetry;
         this->nextExchange = std::min(this->nextExchange, now + this->joinDelay);
     }
-    if (!differing.empty() && !digests.joining)
+    if (differing.size() > shardsPerRepair) // more than churn: a partition ended, or just joined
+        this->nextExchange = std::min(this->nextExchange, now + this->options.busyInterval);
+    if (!differing.empty() && (!digests.joining || !this->joined))
         this->requestShards(differing, digests.replyTo, now, outbox);
 }
 
@@ -369,7 +387,7 @@
         return;
     Gossip gossip = this->emptyGossip();
     gossip.records.push_back(*record);
-    this->budget.send(ControlPriority::Liveness, control, gossip, now, outbox);
+    this->budget.send(ControlPriority::Probes, control, gossip, now, outbox);
 }
 
 void GossipSpread::requestShards(std::vector<std::uint8_t> shards, Endpoint from, TimePoint now,
@@ -388,7 +406,7 @@
             break;
         request.shards.push_back(std::move(cells));
     }
-    this->budget.send(ControlPriority::Repair, from, std::move(request), now, outbox);
+    this->budget.send(ControlPriority::Probes, from, std::move(request), now, outbox);
 }
 
 void GossipSpread::onShardRequest(const ShardRequest &request, TimePoint now, Outbox &outbox)
@@ -424,11 +442,13 @@
     std::vector<Item> items;
     for (std::size_t cell : cells) {
         for (const NodeRecord *record : this->membership.recordsOfCell(cell)) {
-            items.push_back({ .record = record });
+            items.push_back({ .urgency = urgencyOf(*record), .record = record });
             for (const HoldingsReport *report : this->holdings.reportsOf(record->id))
                 items.push_back({ .report = report });
         }
     }
+    std::stable_sort(items.begin(), items.end(),
+                     [](const Item &a, const Item &b) { return a.urgency > b.urgency; });
     std::span<const Item> rest(items);
     for (std::size_t i = 0; i < this->options.repairDatagrams && !rest.empty(); ++i) {
         Gossip gossip = this->fill(rest);
--- a/core/gossip.h
+++ b/core/gossip.h
@@ -40,6 +40,7 @@
     std::size_t fanout = 3; // peers per round
     double copies = 3.0; // copies of a change in units of log2(balancers)
     Duration digestInterval = std::chrono::seconds(5);
+    Duration busyInterval = std::chrono::seconds(1); // while most shards differ
     Duration joinRetry = std::chrono::milliseconds(250); // doubled without answer, up to 5 s
     // A balancer that none of its seeds answers for this long is taken to be the first one.
     Duration joinLimit = std::chrono::seconds(10);
@@ -73,15 +74,16 @@
 
     // Newest configuration of this node, named in outgoing messages.
     void setConfiguration(ConfigurationVersion version) { this->configuration = version; }
-    // True once the table agreed with that of another balancer, or no seed answered for joinLimit,
-    // or there is no other seed. Until then a balancer should take no packets.
+    // True once the table agreed with that of another balancer, or had nearly all of its nodes, or
+    // no seed answered for joinLimit, or there is no other seed. Until then a balancer should take
+    // no packets.
     bool isJoined() const { return this->joined; }
     std::size_t pendingChanges() const { return this->records.size() + this->reports.size(); }
 
 private:
     struct Item // one pending change in a datagram
     {
-        bool death = false;
+        int urgency = 0; // see urgencyOf
         int sent = 0;
         std::size_t bytes = 0;
         const NodeRecord *record = nullptr;
