--- a/scenario/changes.cpp
+++ b/scenario/changes.cpp
@@ -32,7 +32,7 @@
                                            .author = "operator",
                                            .reason = "scenario",
                                            .knownZones = this->knownZones,
-                              .newestKnown = this->newestInForce });
+                                           .newestKnown = this->newestInForce });
     Outbox outbox;
     start(*user.publisher, outbox);
     this->carryOut(user, outbox);
--- /dev/null
+++ b/scenario/link_test.cpp
@@ -0,0 +1,82 @@
+#include "scenario/link.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "scenario/zone.h"
+
+using namespace cactusdeck;
+using namespace cactusdeck::scenario;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct LinkFixture
+{
+    World world{ 1 };
+    Network network{ this->world };
+    int arrived = 0;
+
+    void send(const Place &from, const Place &to, Traffic traffic, int count = 1)
+    {
+        for (int i = 0; i < count; ++i)
+            this->network.carry(from, to, traffic, [this] { ++this->arrived; });
+        this->world.runUntil(this->world.now() + 1s);
+    }
+};
+
+const Place first{ "b1", "amman-a" };
+const Place second{ "b2", "amman-b" };
+const Place neighbour{ "s1", "amman-a" };
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LinkTest, LinkFixture)
+
+// Guards against a cut that also separates machines inside the zone, or that cuts the other
+// traffic.
+BOOST_AUTO_TEST_CASE(cutSeparatesZone)
+{
+    this->network.cut("amman-a", Traffic::Control);
+    this->send(first, second, Traffic::Control);
+    this->send(second, first, Traffic::Control);
+    BOOST_TEST(this->arrived == 0);
+    this->send(first, neighbour, Traffic::Control);
+    this->send(first, second, Traffic::Data);
+    BOOST_TEST(this->arrived == 2);
+    this->network.heal("amman-a", Traffic::Control);
+    this->send(first, second, Traffic::Control);
+    BOOST_TEST(this->arrived == 3);
+}
+
+// Guards against loss and duplication that aren't injected at the rate that a scenario names.
+BOOST_AUTO_TEST_CASE(ratesAreKept)
+{
+    this->network.link(Traffic::Control).loss = 0.2;
+    this->send(first, second, Traffic::Control, 10000);
+    BOOST_TEST(this->arrived > 7800);
+    BOOST_TEST(this->arrived < 8200);
+    this->arrived = 0;
+    this->network.link(Traffic::Data).duplication = 0.1;
+    this->send(first, second, Traffic::Data, 10000);
+    BOOST_TEST(this->arrived > 10800);
+    BOOST_TEST(this->arrived < 11200);
+}
+
+// Guards against packets that aren't counted because the zone was taken out twice.
+BOOST_AUTO_TEST_CASE(zoneCountsPacketsWhileOut)
+{
+    Zone zone;
+    zone.onPacket(this->world.now());
+    BOOST_TEST((zone.lastPacket() == 0s));
+    const TimePoint out = this->world.now();
+    zone.takeOut(out);
+    zone.onPacket(out + 2s);
+    zone.takeOut(out + 3s);
+    zone.onPacket(out + 4s);
+    BOOST_TEST((zone.lastPacket() == 4s));
+    zone.putIn();
+    zone.onPacket(out + 9s);
+    BOOST_TEST((zone.lastPacket() == 4s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
