Keep a cold server at its cold limit until it is seen to be warm

Cause: two faults handed a cold server more than it bears. (1) A server without history has no latency baseline, so its slow cold responses looked normal and four of them doubled the limit. (2) A request that its caller gave up freed its slot at once, while the server still worked on it. Ruled out: a stale health endpoint, which was honest on the servers concerned.

Change: before any warm phase is known the limit rises only after responses fall below half of the first ones, or after 32 responses. An abandoned request counts as in progress for the server's usual time, or until its deadline while that isn't known. Both have a unit test. The test of unused limits warms the server up first; its checks are the same.

--- a/core/admission.cpp
+++ b/core/admission.cpp
@@ -13,6 +13,12 @@
 constexpr std::uint32_t signsForCold = 2;
 // Completions at normal latency before the limit doubles: at least a few, and each slot twice.
 constexpr std::uint32_t minCompletionsForDoubling = 4;
+// A server that this agent has never seen warm counts as warm when a response takes less than half
+// of the slowest of the first ones, or after so many responses without such a drop: it was not cold
+// when the agent started. A cold server's first responses look normal, since there is nothing to
+// compare them with.
+constexpr std::uint32_t firstSamples = 4;
+constexpr std::uint32_t warmUpSamplesLimit = 32;
 // A cold server whose endpoint reports nothing unusual is announced as serving after this time;
 // otherwise balancers that avoid cold agents would never give it the requests that warm it.
 constexpr std::chrono::seconds announcedCold{ 5 };
@@ -111,31 +117,61 @@
         request.isNormal = true;
     if (request.isNormal)
         this->slowInRow = this->coldSigns = 0;
+    this->noteWarmUp(request, latency);
     this->latencies.add(latency);
 }
 
 void Admission::end(std::uint32_t ticket, TimePoint now)
 {
     Request &request = this->requests[ticket];
-    if (!request.isActive)
+    if (!request.isActive || request.abandonedUntil)
         return;
-    request.isActive = false;
-    --this->active;
-    this->freeTickets.push_back(ticket);
-    if (request.isUnasked || !request.isAnswered)
+    if (!request.isAnswered) {
+        this->abandon(request, now);
+        return;
+    }
+    this->release(ticket);
+    if (request.isUnasked)
         return;
     ++this->completed;
     if (request.isNormal)
         this->noteNormalCompletion(request, now);
 }
 
+void Admission::release(std::uint32_t ticket)
+{
+    Request &request = this->requests[ticket];
+    request.isActive = false;
+    request.abandonedUntil.reset();
+    --this->active;
+    this->freeTickets.push_back(ticket);
+}
+
+void Admission::abandon(Request &request, TimePoint now)
+{
+    const bool isTimeKnown = this->latencies.isKnown() && this->bearable(now) == this->learnedLimit
+                             && this->learnedLimit > this->configured.coldSlots;
+    const Duration usual =
+            isTimeKnown ? this->latencies.slowLimit() : Duration(this->configured.requestDeadline);
+    request.abandonedUntil = request.begun + usual;
+}
+
+void Admission::releaseAbandoned(TimePoint now)
+{
+    for (std::uint32_t ticket = 0; ticket < this->requests.size(); ++ticket) {
+        const auto &until = this->requests[ticket].abandonedUntil;
+        if (until && now >= *until)
+            this->release(ticket);
+    }
+}
+
 void Admission::noteNormalCompletion(const Request &request, TimePoint now)
 {
     if (request.begun < this->adjustedAt)
         return;
     this->lastEvidence = now;
     // A limit that wasn't used says nothing about a higher one.
-    if (!request.isLoaded || this->isHeldColdByHealth(now))
+    if (!request.isLoaded || !this->isWarmedUp || this->isHeldColdByHealth(now))
         return;
     if (++this->goodCompletions < std::max(minCompletionsForDoubling, 2 * this->learnedLimit))
         return;
@@ -143,6 +179,18 @@
     this->learnedLimit = std::min(2 * this->learnedLimit, this->configured.slots);
 }
 
+void Admission::noteWarmUp(const Request &request, Duration latency)
+{
+    if (this->isWarmedUp || request.isUnasked)
+        return;
+    if (++this->warmUpSamples <= firstSamples) {
+        this->firstLatency = std::max(this->firstLatency, latency);
+        return;
+    }
+    this->isWarmedUp =
+            latency * 2 < this->firstLatency || this->warmUpSamples >= warmUpSamplesLimit;
+}
+
 void Admission::noteSlow(const Request &request, TimePoint now)
 {
     this->goodCompletions = 0;
@@ -195,6 +243,7 @@
 {
     this->doubtedAt.reset();
     this->inherited = 0;
+    this->releaseAbandoned(TimePoint::max()); // the restarted server has forgotten them
     this->resetToCold(now);
 }
 
@@ -255,6 +304,7 @@
         this->inherited = 0;
         this->inheritedUntil.reset();
     }
+    this->releaseAbandoned(now);
     if (!this->latencies.isKnown())
         return;
     const Duration limit = this->latencies.coldLimit();
--- a/core/admission.h
+++ b/core/admission.h
@@ -73,6 +73,8 @@
     // For a server that works on its own accord: counts the work, can't prevent it.
     std::uint32_t beginUnasked(TimePoint now);
     void onFirstResponse(std::uint32_t ticket, TimePoint now);
+    // Without a response before, the server may still work on the request: it counts as in progress
+    // for as long as the server usually takes, or until the deadline while that isn't known.
     void end(std::uint32_t ticket, TimePoint now);
 
     // Something that the server should answer was delivered.
@@ -111,14 +113,19 @@
         bool isNormal = false; // answered within the slow limit
         bool isColdSign = false; // counted as overdue
         bool isLoaded = false; // begun when more than half of the limit was in use
+        std::optional<TimePoint> abandonedUntil; // ended by the caller, perhaps not by the server
     };
 
     std::uint32_t allot(TimePoint now, bool isUnasked);
+    void release(std::uint32_t ticket);
+    void abandon(Request &request, TimePoint now);
+    void releaseAbandoned(TimePoint now);
     void resetToCold(TimePoint now);
     void halve(TimePoint now);
     void noteSlow(const Request &request, TimePoint now);
     void noteColdSign(Request &request, TimePoint now);
     void noteNormalCompletion(const Request &request, TimePoint now);
+    void noteWarmUp(const Request &request, Duration latency);
     bool isHeldColdByHealth(TimePoint now) const;
     Duration evidenceAge(TimePoint now) const;
 
@@ -131,6 +138,9 @@
     std::optional<TimePoint> inheritedUntil;
     std::uint32_t learnedLimit = 1;
     std::uint32_t goodCompletions = 0;
+    std::uint32_t warmUpSamples = 0;
+    Duration firstLatency{}; // slowest of the first responses
+    bool isWarmedUp = false;
     std::uint32_t slowInRow = 0;
     std::uint32_t coldSigns = 0;
     std::uint64_t completed = 0;
--- a/core/admission_test.cpp
+++ b/core/admission_test.cpp
@@ -81,11 +81,36 @@
     BOOST_TEST(load.fill() == limits.slots);
 }
 
+// Guards against growth on a server that is still cold: without any history its slow responses look
+// normal, so only a drop in latency or many responses show that it is warm.
+BOOST_AUTO_TEST_CASE(firstColdPhaseDoesNotRaiseTheLimit)
+{
+    Load load;
+    load.run(12, 300ms);
+    BOOST_TEST(load.admission.learned() == 1u);
+    load.run(4, 20ms);
+    BOOST_TEST(load.admission.learned() == 2u);
+}
+
+// Guards against handing a cold server a second request while it still works on one that its caller
+// has given up.
+BOOST_AUTO_TEST_CASE(abandonedRequestKeepsItsSlot)
+{
+    Load load;
+    const auto ticket = load.admission.begin(load.now);
+    BOOST_REQUIRE(ticket);
+    load.admission.end(*ticket, load.now);
+    BOOST_TEST(!load.admission.begin(load.now));
+    load.now += limits.requestDeadline;
+    load.admission.onTimer(load.now);
+    BOOST_TEST(load.admission.begin(load.now).has_value());
+}
+
 // Guards against growth through requests that never used the limit.
 BOOST_AUTO_TEST_CASE(unusedLimitDoesNotGrow)
 {
     Load load;
-    load.run(4);
+    load.run(35); // the 32nd response makes it warm, four in all double the limit
     BOOST_TEST(load.admission.learned() == 2u);
     for (int i = 0; i < 100; ++i) {
         load.tickets.push_back(*load.admission.begin(load.now));
