Make the test of agents' notices reach the code it checks

Cause: agentsSendNoNotices gave the agent its first version, for which nobody sends notices, so it passed without the change that it belongs to.

Change: the test applies a second version.

Conclusion: the check now guards the rule.

--- a/core/configspread_test.cpp
+++ b/core/configspread_test.cpp
@@ -260,7 +260,9 @@
     ConfigurationSpread &agent = fleet.node(100);
     agent.setPeers({ endpoint(0) });
     const GroupName group{ "a-group" };
-    BOOST_TEST(agent.onDelta(deltaBetween(nullptr, *build(2), group), start, fleet.outbox));
+    BOOST_TEST(agent.onDelta(deltaBetween(nullptr, *build(1), group), start, fleet.outbox));
+    const ConfigurationPointer first = agent.current();
+    BOOST_TEST(agent.onDelta(deltaBetween(first.get(), *build(2), group), start, fleet.outbox));
     agent.onTimer(start + 1s, fleet.outbox);
     BOOST_TEST(fleet.outbox.control.empty());
 }
