Return a new flow to the first hop if the last one can't take any

Cause: earlier hops decline as soon as they are busy, because the last hop accepts what it can serve within half of the deadline. Ruled out by the log: the retry budget (three hops each) and balancer b1.

--- a/core/callerpath.cpp
+++ b/core/callerpath.cpp
@@ -218,7 +218,11 @@
 
 void CallerPath::decline(const Context &context, const char *reason)
 {
-    if (const Hop *next = this->forwardToNextHop(context)) {
+    const Hop *next = this->forwardToNextHop(context);
+    // Not for a busy agent: in overload each refusal would cost passes over the whole chain.
+    if (next == nullptr && std::string_view(reason) != nameOf(FlowDecision::Busy))
+        next = this->returnToFirstHop(context);
+    if (next != nullptr) {
         ++this->state.counters.declined;
         addEvent(context.outbox, Level::Info, "flow_declined",
                  { { "flow", toString(context.view.key) },
@@ -268,6 +272,22 @@
     return &context.frame.hops[next.hopIndex];
 }
 
+// The last hop accepts what earlier ones decline as busy. If it can't take any flow, the frame goes
+// back to the first hop, which then decides as the last one. Each return shortens the chain.
+const Hop *CallerPath::returnToFirstHop(const Context &context)
+{
+    ForwardFrame next = context.frame;
+    if (next.hopCount < 2 || !context.view.isSyn())
+        return nullptr;
+    --next.hopCount;
+    std::rotate(next.hops.begin(), next.hops.begin() + 1, next.hops.begin() + next.hopCount);
+    next.hopIndex = std::uint8_t(next.hopCount - 1);
+    FrameBuffer buffer;
+    context.sink.toNode(next.hops[next.hopIndex].agent, encodeForward(next, buffer),
+                        context.view.bytes);
+    return &context.frame.hops[0];
+}
+
 void CallerPath::reply(const Context &context, Verdict verdict)
 {
     if (context.frame.replyTo == Endpoint{})
--- a/core/callerpath.h
+++ b/core/callerpath.h
@@ -55,6 +55,7 @@
     // Forwards a frame that isn't for this agent. On the last hop it is dropped.
     void passOn(const Context &context, std::optional<Verdict> verdictOnLastHop);
     const Hop *forwardToNextHop(const Context &context);
+    const Hop *returnToFirstHop(const Context &context);
     void reply(const Context &context, Verdict verdict);
     void deliver(const Context &context);
 
