Spawn actors with their state as an argument

Cause: CAF 0.17 dereferences a null argument tuple when a function without arguments is spawned; the sanitizer build of node_test stopped there at its first actor.

Change: the actor functions get the node's state as an argument instead of capturing it.

Conclusion: no sanitizer check had to be turned off.

--- a/node/actors.cpp
+++ b/node/actors.cpp
@@ -54,28 +54,39 @@
         , store({ .store = this->options.store.value_or(Endpoint{}) })
         , system(configure(this->config))
     {
+        // Actors get their state as an argument: CAF 0.17 dereferences a null argument tuple when a
+        // function is spawned without one, which the undefined-behaviour sanitizer reports.
         this->dispatcher = this->system.spawn(
-                [this](caf::event_based_actor *self) { return this->dispatch(self); });
-        this->writer = this->system.spawn<caf::detached>([this](caf::event_based_actor *) {
-            return caf::behavior{ [this](DrainAtom) { this->options.log->drain(writeLogLine); } };
-        });
+                [](caf::event_based_actor *self, Parts *parts) { return parts->dispatch(self); },
+                this);
+        this->writer = this->system.spawn<caf::detached>(
+                [](caf::event_based_actor *, Parts *parts) { return parts->writeLog(); }, this);
         if (this->options.health) {
             this->poller = this->system.spawn<caf::detached>(
-                    [this](caf::event_based_actor *self) { return this->poll(self); });
+                    [](caf::event_based_actor *self, Parts *parts) { return parts->poll(self); },
+                    this);
         }
     }
 
+    caf::behavior writeLog()
+    {
+        return { [this](DrainAtom) { this->options.log->drain(writeLogLine); } };
+    }
+
     caf::behavior dispatch(caf::event_based_actor *self)
     {
         return {
             [this, self](const StoreCall &call) {
-                self->spawn<caf::detached>(
-                        [this, call](caf::event_based_actor *) { this->runStoreCall(call); });
+                self->spawn<caf::detached>([call](caf::event_based_actor *,
+                                                  Parts *parts) { parts->runStoreCall(call); },
+                                           this);
             },
             [this, self](const Delivery &delivery) {
-                self->spawn<caf::detached>([this, delivery](caf::event_based_actor *) {
-                    this->runDelivery(delivery);
-                });
+                self->spawn<caf::detached>(
+                        [delivery](caf::event_based_actor *, Parts *parts) {
+                            parts->runDelivery(delivery);
+                        },
+                        this);
             },
         };
     }
