Read benchmark results from the console format

Cause: the CSV reporter aborts when benchmarks have different counters, so tools/bench.sh printed nothing. Change: it parses the console format.

--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -5,14 +5,12 @@
 source "$(dirname "$0")/common.sh"
 filter="${1:--fleetRun/(100|300)}"
 buildPreset release core_bench >&2
+# The console format, because the CSV one requires the same counters of all benchmarks.
 build/release/core_bench --benchmark_filter="$filter" --benchmark_min_time=0.5 \
-    --benchmark_out=build/bench.json --benchmark_out_format=json --benchmark_format=csv 2>/dev/null |
-    awk -F, '
-        $1 == "name" { for (i = 11; i <= NF; ++i) { gsub(/"/, "", $i); counter[i] = $i } next }
-        counter[11] != "" && NF > 10 {
-            gsub(/"/, "", $1)
-            line = "benchmark=" $1 " real=" $3 " cpu=" $4 " unit=" $5
-            for (i = 11; i <= NF; ++i)
-                if ($i != "") line = line " " counter[i] "=" $i
-            print line
-        }'
+    --benchmark_out=build/bench.json --benchmark_out_format=json 2>/dev/null |
+    awk '$3 ~ /^(ns|us|ms|s)$/ && $5 == $3 {
+        line = "benchmark=" $1 " real=" $2 " cpu=" $4 " unit=" $3
+        for (i = 7; i <= NF; ++i)
+            line = line " " $i
+        print line
+    }'
