--- a/node/operatoroutput.cpp
+++ b/node/operatoroutput.cpp
@@ -246,10 +246,14 @@
                     { "diff", output.json } };
     if (outcome.winner)
         output.json["winner"] = recordToJson(*outcome.winner);
-    output.text += std::string(toString(outcome.result)) + ": " + outcome.message + "\n";
-    if (outcome.result == PublishResult::Accepted || outcome.result == PublishResult::Unchanged) {
+    const bool isAccepted = outcome.result == PublishResult::Accepted;
+    // The message of an accepted change says so itself and names the version.
+    if (!isAccepted)
+        output.text += std::string(toString(outcome.result)) + ": ";
+    output.text += outcome.message + "\n";
+    if (outcome.result == PublishResult::Unchanged) {
         output.text += "version " + std::to_string(outcome.version) + "\n";
-    } else {
+    } else if (!isAccepted) {
         output.error = outcome.error;
         if (output.error->message.empty())
             output.error->message = outcome.message;
