Remove work done twice on the packet paths

Cause: reading the change again found the flow cache searched twice for each cached packet, the version of a reply compared twice, and the same lines sending a frame to its hop in two functions of the agent.

Change: remember() gets the entry that route() found; onFrame leaves the comparison to onVersionSeen; sendToHop serves both ways of passing a frame on. No behaviour, test or bound is changed.

--- a/core/balancer.cpp
+++ b/core/balancer.cpp
@@ -263,8 +263,6 @@
     }
     ++p.counters.replies;
     p.forwarder.onReply(*reply, now);
-    if (reply->configuration <= p.spread.current()->version())
-        return;
     // Agents keep only the services of their group; peers are asked for the version.
     p.onVersionSeen(reply->configuration, Endpoint(), now, outbox);
 }
--- a/core/callerpath.cpp
+++ b/core/callerpath.cpp
@@ -258,6 +258,13 @@
                { "hops", std::to_string(context.frame.hopCount) } });
 }
 
+void CallerPath::sendToHop(const Context &context, const ForwardFrame &frame)
+{
+    FrameBuffer buffer;
+    context.sink.toNode(frame.hops[frame.hopIndex].agent, encodeForward(frame, buffer),
+                        context.view.bytes);
+}
+
 const Hop *CallerPath::forwardToNextHop(const Context &context)
 {
     ForwardFrame next = context.frame;
@@ -266,9 +273,7 @@
         if (next.hopIndex >= next.hopCount)
             return nullptr;
     } while (next.hops[next.hopIndex].agent == this->state.options.data);
-    FrameBuffer buffer;
-    context.sink.toNode(next.hops[next.hopIndex].agent, encodeForward(next, buffer),
-                        context.view.bytes);
+    sendToHop(context, next);
     return &context.frame.hops[next.hopIndex];
 }
 
@@ -282,9 +287,7 @@
     --next.hopCount;
     std::rotate(next.hops.begin(), next.hops.begin() + 1, next.hops.begin() + next.hopCount);
     next.hopIndex = std::uint8_t(next.hopCount - 1);
-    FrameBuffer buffer;
-    context.sink.toNode(next.hops[next.hopIndex].agent, encodeForward(next, buffer),
-                        context.view.bytes);
+    sendToHop(context, next);
     return &context.frame.hops[0];
 }
 
--- a/core/callerpath.h
+++ b/core/callerpath.h
@@ -54,6 +54,8 @@
     void decline(const Context &context, const char *reason);
     // Forwards a frame that isn't for this agent. On the last hop it is dropped.
     void passOn(const Context &context, std::optional<Verdict> verdictOnLastHop);
+    // Sends the frame to its current hop.
+    static void sendToHop(const Context &context, const ForwardFrame &frame);
     const Hop *forwardToNextHop(const Context &context);
     const Hop *returnToFirstHop(const Context &context);
     void reply(const Context &context, Verdict verdict);
--- a/core/forwarder.cpp
+++ b/core/forwarder.cpp
@@ -159,15 +159,14 @@
     return plan;
 }
 
-void Forwarder::remember(std::uint64_t flowHash, const Plan &plan, TimePoint now,
-                         ForwardFrame &frame)
+void Forwarder::remember(std::uint64_t flowHash, const Plan &plan, const FlowCache::Entry *entry,
+                         TimePoint now, ForwardFrame &frame)
 {
     const std::uint32_t stamp = stampOf(now);
     if (plan.reason == RouteReason::CachedOwner) {
-        FlowCache::Entry *entry = this->cache.find(flowHash);
         if (stamp - entry->stamp < confirmTicks)
             return;
-        entry->stamp = stamp;
+        this->cache.find(flowHash)->stamp = stamp;
     }
     frame.flags |= frameflag::replyWanted;
     if (plan.canBeNew) {
@@ -199,7 +198,8 @@
         return RouteReason::UnknownService;
     const std::uint64_t flowHash = hashOf(view.key);
     const Bucket bucket = bucketOf(flowHash);
-    const Plan plan = this->plan(*route, view, bucket, this->validEntry(flowHash), now);
+    const FlowCache::Entry *entry = this->validEntry(flowHash);
+    const Plan plan = this->plan(*route, view, bucket, entry, now);
     if (!isForwarded(plan.reason))
         return plan.reason;
     frame.flags = 0;
@@ -212,7 +212,7 @@
     frame.hopCount = std::uint8_t(plan.chain.size);
     for (std::size_t i = 0; i < plan.chain.size; ++i)
         frame.hops[i] = this->registry.hopOf(plan.chain.slots[i]).hop;
-    this->remember(flowHash, plan, now, frame);
+    this->remember(flowHash, plan, entry, now, frame);
     return plan.reason;
 }
 
--- a/core/forwarder.h
+++ b/core/forwarder.h
@@ -91,7 +91,8 @@
     void addHolders(const ServiceRoute &route, Bucket bucket, Chain &chain) const;
     void addHomes(const ServiceRoute &route, Bucket bucket, Chain &chain) const;
     void addIfPresent(SlotIndex slot, Chain &chain) const;
-    void remember(std::uint64_t flowHash, const Plan &plan, TimePoint now, ForwardFrame &frame);
+    void remember(std::uint64_t flowHash, const Plan &plan, const FlowCache::Entry *entry,
+                  TimePoint now, ForwardFrame &frame);
     void noteFirstHop(const FlowCache::Entry *entry, TimePoint now);
     void rememberNewFlow(std::uint64_t flowHash, SlotIndex first, std::uint32_t stamp,
                          TimePoint now);
