--- a/core/frame.cpp
+++ b/core/frame.cpp
@@ -196,7 +196,7 @@
     if (!readHeader(datagram, FrameKind::Reply, header))
         return std::nullopt;
     const std::uint8_t verdict = header.verdict.value();
-    if (verdict < std::uint8_t(Verdict::Accepted) || verdict > std::uint8_t(Verdict::ZoneOut))
+    if (verdict < std::uint8_t(Verdict::Accepted) || verdict > std::uint8_t(Verdict::Unsure))
         return std::nullopt;
     return ReplyFrame{
         .verdict = Verdict(verdict),
--- a/core/frame.h
+++ b/core/frame.h
@@ -38,6 +38,9 @@
 inline constexpr std::uint8_t newFlow = 0x01; // an agent may accept the flow
 inline constexpr std::uint8_t replyWanted = 0x02;
 inline constexpr std::uint8_t zoneOut = 0x04; // the sender's configuration has the hop's zone out
+inline constexpr std::uint8_t locate = 0x08; // a question whether the agent holds the flow
+// No agent answered for the flow: the backend server is asked by giving it the packet.
+inline constexpr std::uint8_t probe = 0x10;
 } // namespace frameflag
 
 struct ForwardFrame
@@ -65,6 +68,7 @@
     WrongService,
     WrongIncarnation,
     ZoneOut,
+    Unsure, // the backend server may hold the flow from before the agent's start
 };
 
 struct ReplyFrame
--- /dev/null
+++ b/mesh/agent.cpp
@@ -0,0 +1,517 @@
+#include "mesh/agent.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+constexpr std::array phaseNames = { "unknown", "ready", "draining", "paused", "ended" };
+
+Endpoint firstHop(const std::vector<Endpoint> &hops)
+{
+    return hops.empty() ? Endpoint{} : hops.front();
+}
+
+std::vector<Endpoint> hopsAfter(const ForwardFrame &frame)
+{
+    std::vector<Endpoint> hops;
+    for (std::size_t i = std::size_t(frame.hopIndex) + 1; i < frame.hopCount; ++i)
+        hops.push_back(frame.hops[i].agent);
+    return hops;
+}
+
+} // namespace
+
+Agent::Agent(AgentOptions agentOptions)
+    : options(std::move(agentOptions))
+    , service(serviceIdOf(this->options.service))
+    , balancers(this->options.mesh)
+{ }
+
+void Agent::start(TimePoint now, Sink &sink)
+{
+    this->startedAt = now;
+    this->balancers.addSeeds(this->options.seeds, now);
+    this->nextExpiry = now + expiryInterval;
+    sink.log(Level::Info, "agent_started",
+             { { "node", this->options.name.value },
+               { "zone", this->options.zone.value },
+               { "service", this->options.service.value },
+               { "server", toString(this->options.server) } });
+    this->report(now, sink);
+}
+
+void Agent::onDatagram(std::span<const std::uint8_t> datagram, Endpoint from, TimePoint now,
+                       Sink &sink)
+{
+    if (isPeerMessage(datagram)) {
+        const std::optional<PeerMessage> message = decodePeerMessage(datagram);
+        if (message && std::holds_alternative<BalancerNotice>(*message)) {
+            this->onNotice(std::get<BalancerNotice>(*message), from, now, sink);
+            return;
+        }
+    } else if (const std::optional<ForwardFrame> frame = decodeForward(datagram)) {
+        this->onForward(*frame, now, sink);
+        return;
+    }
+    ++this->counts.malformed;
+    sink.log(Level::Warning, "datagram_malformed",
+             { { "from", toString(from) }, { "bytes", std::to_string(datagram.size()) } });
+}
+
+void Agent::onForward(const ForwardFrame &frame, TimePoint now, Sink &sink)
+{
+    const std::optional<Segment> segment = this->options.codec->parse(frame.packet);
+    if (!segment) {
+        ++this->counts.malformed;
+        sink.log(Level::Warning, "packet_malformed", { { "balancer", toString(frame.replyTo) } });
+        return;
+    }
+    if (frame.has(frameflag::locate))
+        this->onLocate(frame, *segment, sink);
+    else if (segment->isOpening())
+        this->onOpening(frame, *segment, now, sink);
+    else
+        this->onEstablished(frame, *segment, now, sink);
+}
+
+const char *Agent::declineReason(TimePoint now) const
+{
+    if (this->isStopping)
+        return "agent_stopping";
+    if (this->isEvacuated)
+        return "zone_evacuated";
+    switch (this->record.phase()) {
+    case ServerPhase::Ready:
+        break;
+    case ServerPhase::Draining:
+        return "server_draining";
+    case ServerPhase::Ended:
+        return "server_ended";
+    default:
+        return "no_heartbeat";
+    }
+    if (this->limits.connections > 0 && this->flows.openCount() >= this->limits.connections)
+        return "connections_full";
+    if (this->record.isCold(now)) {
+        const double allowed = this->limits.coldFlowsPerSecond;
+        if (!this->coldMeter.isFree(allowed, now))
+            return "cold_limit";
+        if (allowed > 0 && this->flows.load().requestsPerSecond(now) >= allowed)
+            return "cold_load";
+    }
+    return nullptr;
+}
+
+void Agent::onOpening(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink)
+{
+    if (frame.service != this->service) {
+        // The sender takes this agent for the one of another service that had the address before.
+        this->reply(Verdict::WrongService, segment.key, frame.replyTo, sink);
+        this->passOn(segment, hopsAfter(frame), frame.replyTo, "wrong_service", frame.packet, sink);
+        return;
+    }
+    ServerFlow *flow = this->flows.find(segment.key);
+    const bool isCopy = flow != nullptr && flow->isOpenedBy(segment);
+    if (const char *reason = isCopy ? nullptr : this->declineReason(now)) {
+        this->passOn(segment, hopsAfter(frame), frame.replyTo, reason, frame.packet, sink);
+        return;
+    }
+    if (!isCopy)
+        flow = &this->flows.open(segment.key, now);
+    flow->openingSequence = segment.sequence;
+    flow->balancer = frame.replyTo;
+    flow->lastActive = now;
+    if (!flow->isAnswered)
+        flow->remaining = hopsAfter(frame);
+    this->coldMeter.add(now);
+    ++this->counts.admitted;
+    ++this->counts.toServer;
+    sink.toServer(segment.bytes);
+    if (!isCopy && this->hasFlowCountChanged())
+        this->reportSoon(now);
+}
+
+void Agent::passOn(const Segment &segment, const std::vector<Endpoint> &remaining,
+                   Endpoint balancer, const char *reason, std::span<const std::uint8_t> packet,
+                   Sink &sink)
+{
+    const Endpoint next = firstHop(remaining);
+    sink.log(Level::Info, "flow_declined",
+             { { "flow", toString(segment.key) },
+               { "copy", std::to_string(segment.acknowledgement) },
+               { "reason", reason },
+               { "flows", std::to_string(this->flows.openCount()) },
+               { "next", remaining.empty() ? "none" : toString(next) } });
+    if (remaining.empty()) {
+        this->reply(Verdict::Declined, segment.key, balancer, sink);
+        // Only for the first copy is it sure that no other agent has the flow.
+        if (segment.acknowledgement == 0) {
+            ++this->counts.refused;
+            this->resetCaller(segment, "no_agent_took_it", sink);
+        }
+        return;
+    }
+    ++this->counts.passedOn;
+    ForwardFrame frame{ .flags = frameflag::newFlow | frameflag::replyWanted,
+                        .service = this->service,
+                        .replyTo = balancer,
+                        .hopCount = std::uint8_t(remaining.size()) };
+    for (std::size_t i = 0; i < remaining.size() && i < maxHops; ++i)
+        frame.hops[i].agent = remaining[i];
+    FrameBuffer buffer;
+    sink.toNode(next, encodeForward(frame, buffer), packet);
+}
+
+void Agent::onEstablished(const ForwardFrame &frame, const Segment &segment, TimePoint now,
+                          Sink &sink)
+{
+    if (this->isOutOfService(now)) {
+        ++this->counts.droppedEvacuated;
+        sink.log(Level::Info, "packet_dropped",
+                 { { "flow", toString(segment.key) }, { "reason", "zone_evacuated" } });
+        return;
+    }
+    ServerFlow *flow = this->flows.find(segment.key);
+    if (flow != nullptr && flow->isOpen && this->hasServerExited(now)) {
+        this->endFlow(segment, "server_exited", now, sink);
+        return;
+    }
+    if (flow == nullptr) {
+        this->onUnknown(frame, segment, now, sink);
+        return;
+    }
+    if (!flow->isOpen) {
+        if (!flow->isAcknowledgedBy(segment)) {
+            // The caller has chosen the answer of another server.
+            this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
+            return;
+        }
+        flow->isOpen = true;
+        this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
+    } else if (flow->balancer != frame.replyTo || frame.has(frameflag::replyWanted)) {
+        this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
+    }
+    flow->balancer = frame.replyTo;
+    this->flows.onCaller(*flow, segment, now);
+    ++this->counts.toServer;
+    sink.toServer(segment.bytes);
+}
+
+void Agent::onUnknown(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink)
+{
+    const ServerPhase current = this->record.phase();
+    if (this->record.beganAfterAgent() || current == ServerPhase::Ended) {
+        ++this->counts.unknownFlow;
+        this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
+        return;
+    }
+    // The server may hold the flow from before the agent's start. If not, it returns the packet.
+    this->probes[segment.key] = { .balancer = frame.replyTo, .sentAt = now };
+    ++this->counts.toServer;
+    sink.toServer(segment.bytes);
+}
+
+void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
+{
+    const ServerFlow *flow = this->flows.find(segment.key);
+    const bool isOwner = flow != nullptr && (flow->isOpen || flow->isAcknowledgedBy(segment));
+    Verdict verdict = Verdict::Owner;
+    if (!isOwner)
+        verdict = flow != nullptr || this->record.beganAfterAgent()
+                                  || this->record.phase() == ServerPhase::Ended
+                          ? Verdict::UnknownFlow
+                          : Verdict::Unsure;
+    this->reply(verdict, segment.key, frame.replyTo, sink);
+}
+
+void Agent::onServerPacket(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink)
+{
+    const std::optional<Segment> segment = this->options.codec->parse(packet);
+    if (!segment) {
+        ++this->counts.malformed;
+        sink.log(Level::Warning, "packet_malformed", { { "from", "server" } });
+        return;
+    }
+    if (segment->isBounced) {
+        this->onBounce(*segment, now, sink);
+        return;
+    }
+    const FlowKey key = segment->key.reversed();
+    ServerFlow *flow = this->flows.find(key);
+    const bool isAdoptable = !this->record.beganAfterAgent() && !segment->has(tcpflag::rst)
+                             && !segment->isOpeningAnswer();
+    if (flow == nullptr && isAdoptable) {
+        flow = &this->flows.adopt(key, now);
+        ++this->counts.adopted;
+        if (const auto it = this->probes.find(key); it != this->probes.end()) {
+            flow->balancer = it->second.balancer;
+            this->reply(Verdict::Owner, key, it->second.balancer, sink);
+            this->probes.erase(it);
+        }
+        sink.log(Level::Info, "flow_adopted", { { "flow", toString(key) } });
+    }
+    if (flow != nullptr) {
+        const bool wasAnswered = flow->isAnswered;
+        this->flows.onServer(*flow, *segment, this->record.slots(), now);
+        if (segment->isOpeningAnswer() && !wasAnswered)
+            this->reply(Verdict::Accepted, key, flow->balancer, sink);
+    }
+    ++this->counts.toCaller;
+    sink.toCaller(segment->key.destination, segment->bytes);
+}
+
+void Agent::onBounce(const Segment &segment, TimePoint now, Sink &sink)
+{
+    ++this->counts.bounced;
+    ServerFlow *flow = this->flows.find(segment.key);
+    if (segment.isOpening()) {
+        if (flow == nullptr || flow->isAnswered)
+            return; // an answer has come meanwhile, or the agent has begun anew
+        const std::vector<Endpoint> remaining = std::move(flow->remaining);
+        const Endpoint balancer = flow->balancer;
+        this->flows.erase(segment.key, now);
+        this->passOn(segment, remaining, balancer, "server_full",
+                     this->options.codec->restored(segment), sink);
+        return;
+    }
+    if (const auto it = this->probes.find(segment.key); it != this->probes.end()) {
+        this->reply(Verdict::UnknownFlow, segment.key, it->second.balancer, sink);
+        this->probes.erase(it);
+        return;
+    }
+    if (flow == nullptr || !flow->isOpen || flow->hasEnded)
+        return;
+    this->endFlow(segment, "server_lost_flow", now, sink);
+}
+
+void Agent::endFlow(const Segment &segment, const char *reason, TimePoint now, Sink &sink)
+{
+    ++this->counts.resetFlows;
+    if (const ServerFlow *flow = this->flows.find(segment.key))
+        this->reply(Verdict::UnknownFlow, segment.key, flow->balancer, sink);
+    this->flows.erase(segment.key, now);
+    if (!segment.has(tcpflag::rst))
+        this->resetCaller(segment, reason, sink);
+}
+
+void Agent::resetCaller(const Segment &segment, const char *reason, Sink &sink)
+{
+    sink.log(Level::Info, "flow_reset",
+             { { "flow", toString(segment.key) }, { "reason", reason } });
+    sink.toCaller(segment.key.source, this->options.codec->resetFor(segment));
+}
+
+void Agent::reply(Verdict verdict, const FlowKey &key, Endpoint balancer, Sink &sink)
+{
+    if (balancer == Endpoint{})
+        return;
+    const ReplyFrame reply{ .verdict = verdict,
+                            .service = this->service,
+                            .flowHash = hashOf(key),
+                            .agent = this->options.mesh };
+    FrameBuffer buffer;
+    sink.toNode(balancer, encodeReply(reply, buffer), {});
+}
+
+bool Agent::onHeartbeat(const Heartbeat &heartbeat, TimePoint now, Sink &sink)
+{
+    if (heartbeat.service != this->options.service || heartbeat.address != this->options.server) {
+        ++this->counts.rejectedHeartbeats;
+        sink.log(Level::Warning, "heartbeat_rejected",
+                 { { "instance", heartbeat.instance },
+                   { "service", heartbeat.service.value },
+                   { "address", toString(heartbeat.address) },
+                   { "expected",
+                     this->options.service.value + "@" + toString(this->options.server) } });
+        return false;
+    }
+    ++this->counts.heartbeats;
+    const ServerPhase before = this->phase();
+    const std::uint64_t runBefore = this->record.incarnation();
+    const bool wasCold = this->record.isCold(now);
+    const HeartbeatVerdict verdict = this->record.onHeartbeat(heartbeat, now);
+    if (verdict == HeartbeatVerdict::Stale) {
+        ++this->counts.staleHeartbeats;
+        sink.log(Level::Info, "heartbeat_stale",
+                 { { "instance", heartbeat.instance },
+                   { "sequence", std::to_string(heartbeat.sequence) } });
+        return true;
+    }
+    if (verdict == HeartbeatVerdict::NewServer)
+        this->forgetServer(now);
+    const bool isChanged = before != this->phase() || runBefore != this->record.incarnation()
+                           || wasCold != this->record.isCold(now);
+    if (isChanged) {
+        sink.log(Level::Info, "server_changed",
+                 { { "instance", heartbeat.instance },
+                   { "started_at", std::to_string(heartbeat.startedAt) },
+                   { "sequence", std::to_string(heartbeat.sequence) },
+                   { "phase", phaseNames[std::size_t(this->phase())] },
+                   { "cold_ms", std::to_string(heartbeat.coldFor.count()) },
+                   { "flows", std::to_string(this->flows.openCount()) } });
+        this->reportSoon(now);
+    }
+    return true;
+}
+
+void Agent::forgetServer(TimePoint now)
+{
+    this->flows.clear(now);
+    this->probes.clear();
+}
+
+void Agent::onDeregister(const std::string &instance, std::int64_t startedAt, TimePoint now,
+                         Sink &sink)
+{
+    const bool isCurrent = this->record.onDeregister(instance, startedAt);
+    sink.log(Level::Info, "server_deregistered",
+             { { "instance", instance }, { "current", isCurrent ? "yes" : "no" } });
+    if (!isCurrent)
+        return;
+    this->deregisteredAt = now;
+    this->reportSoon(now);
+}
+
+void Agent::onNotice(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink)
+{
+    this->balancers.onHeard(from, now);
+    if (this->balancers.add(notice.balancers, now))
+        this->reportSoon(now);
+    if (notice.configuration > this->configuration) {
+        this->configuration = notice.configuration;
+        this->limits = notice.limits;
+        if (notice.idleTimeout > std::chrono::milliseconds::zero())
+            this->idleTimeout = notice.idleTimeout;
+    }
+    if (notice.evacuation <= this->evacuation)
+        return;
+    this->evacuation = notice.evacuation;
+    if (notice.isZoneEvacuated == this->isEvacuated)
+        return;
+    this->isEvacuated = notice.isZoneEvacuated;
+    this->evacuatedAt = now;
+    sink.log(Level::Warning, this->isEvacuated ? "zone_evacuated" : "zone_returned",
+             { { "zone", this->options.zone.value },
+               { "revision", std::to_string(notice.evacuation) },
+               { "balancer", toString(from) },
+               { "flows", std::to_string(this->flows.openCount()) } });
+}
+
+void Agent::addBalancers(const std::vector<Endpoint> &found, TimePoint now, Sink &sink)
+{
+    if (!this->balancers.add(found, now))
+        return;
+    sink.log(Level::Info, "balancers_found", { { "count", std::to_string(found.size()) } });
+    this->reportSoon(now);
+}
+
+bool Agent::needsDirectory(TimePoint now) const
+{
+    return now - std::max(this->startedAt, this->balancers.lastHeard()) > directoryDelay;
+}
+
+bool Agent::hasServerExited(TimePoint now) const
+{
+    return this->record.phase() == ServerPhase::Ended && now - this->deregisteredAt > exitDelay;
+}
+
+bool Agent::isOutOfService(TimePoint now) const
+{
+    return this->isEvacuated && now - this->evacuatedAt > evacuationGrace;
+}
+
+ServerPhase Agent::phase() const
+{
+    const ServerPhase phase = this->record.phase();
+    return this->isStopping && phase != ServerPhase::Ended ? ServerPhase::Paused : phase;
+}
+
+std::chrono::milliseconds Agent::interval() const
+{
+    const auto affordable = std::chrono::milliseconds(std::int64_t(
+            1000 * reportBytes * double(this->balancers.size()) / reportBytesPerSecond));
+    return std::max(reportInterval, affordable);
+}
+
+bool Agent::hasFlowCountChanged() const
+{
+    const std::size_t now = this->flows.openCount();
+    const std::size_t change =
+            now > this->reportedFlows ? now - this->reportedFlows : this->reportedFlows - now;
+    return change >= flowChangeLeast
+           && double(change) >= flowChangeShare * double(this->reportedFlows);
+}
+
+void Agent::reportSoon(TimePoint now)
+{
+    this->nextReport = std::min(this->nextReport, std::max(now, this->lastReport + reportGap));
+}
+
+void Agent::report(TimePoint now, Sink &sink)
+{
+    const ServerLoad &load = this->flows.load();
+    const AgentReport report{
+        .name = this->options.name,
+        .zone = this->options.zone,
+        .service = this->options.service,
+        .serverIncarnation = this->record.incarnation(),
+        .phase = this->phase(),
+        .isCold = this->record.isCold(now),
+        .slots = this->record.slots(),
+        .flows = std::uint32_t(this->flows.openCount()),
+        .requestsInProgress = load.meanInProgress(now),
+        .requestsPerSecond = load.requestsPerSecond(now),
+        .serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(load.serviceTime()),
+        .responseBytes = load.responseBytes(),
+        .interval = this->interval(),
+    };
+    const std::vector<std::uint8_t> bytes = encode(report);
+    for (const Endpoint &balancer : this->balancers.all())
+        sink.toNode(balancer, bytes, {});
+    this->reportedFlows = this->flows.openCount();
+    this->lastReport = now;
+    this->nextReport = now + this->interval();
+}
+
+TimePoint Agent::nextTimer() const
+{
+    TimePoint next = std::min(this->nextReport, this->nextExpiry);
+    return this->isStopping ? std::min(next, this->nextStopCheck) : next;
+}
+
+void Agent::onTimer(TimePoint now, Sink &sink)
+{
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + expiryInterval;
+        this->flows.expire(this->idleTimeout, now);
+        this->balancers.forgetSilent(now);
+        std::erase_if(this->probes,
+                      [&](const auto &entry) { return now - entry.second.sentAt > probeMemory; });
+    }
+    if (now >= this->nextReport)
+        this->report(now, sink);
+    if (!this->isStopping || now < this->nextStopCheck)
+        return;
+    this->nextStopCheck = now + stopCheckInterval;
+    const bool isQuiet =
+            this->flows.load().inProgress() == 0 || this->record.phase() == ServerPhase::Ended;
+    this->stopped = isQuiet || now - this->stoppingAt >= stopLimit;
+}
+
+void Agent::stop(TimePoint now, Sink &sink)
+{
+    if (this->isStopping)
+        return;
+    this->isStopping = true;
+    this->stoppingAt = now;
+    this->nextStopCheck = now + stopDelay;
+    sink.log(Level::Info, "stop_requested",
+             { { "flows", std::to_string(this->flows.openCount()) },
+               { "in_progress", std::to_string(this->flows.load().inProgress()) } });
+    this->report(now, sink);
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/agentdirectory.cpp
@@ -0,0 +1,196 @@
+#include "mesh/agentdirectory.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "mesh/expectedwait.h"
+
+namespace cactusdeck::mesh {
+
+std::optional<AgentIndex> AgentDirectory::find(Endpoint endpoint) const
+{
+    const auto it = this->indices.find(endpoint);
+    if (it == this->indices.end())
+        return std::nullopt;
+    return it->second;
+}
+
+bool AgentDirectory::onReport(const AgentReport &report, Endpoint from, TimePoint now)
+{
+    if (!this->indices.contains(from)) {
+        if (this->agents.size() > std::numeric_limits<AgentIndex>::max())
+            return false;
+        this->indices[from] = AgentIndex(this->agents.size());
+        this->agents.push_back({ .endpoint = from });
+    }
+    Agent &agent = this->agents[this->indices[from]];
+    const bool isNews = !agent.isPresent || agent.report.phase != report.phase
+                        || agent.report.serverIncarnation != report.serverIncarnation;
+    const bool isOtherRun = report.serverIncarnation != 0 && agent.report.serverIncarnation != 0
+                            && report.serverIncarnation != agent.report.serverIncarnation;
+    if (isOtherRun || (agent.isEnded && report.phase != ServerPhase::Ended)) {
+        ++agent.generation;
+        agent.hasLostGeneration = false;
+    }
+    const std::uint64_t knownRun = report.serverIncarnation != 0 ? report.serverIncarnation
+                                                                 : agent.report.serverIncarnation;
+    agent.report = report;
+    agent.report.serverIncarnation = knownRun;
+    agent.isPresent = true;
+    agent.isEnded = report.phase == ServerPhase::Ended;
+    agent.heard = now;
+    agent.placed = 0;
+    agent.unanswered = 0;
+    return isNews;
+}
+
+void AgentDirectory::onHeard(Endpoint from, TimePoint now)
+{
+    if (const auto index = this->find(from)) {
+        this->agents[*index].heard = now;
+        this->agents[*index].unanswered = 0;
+    }
+}
+
+void AgentDirectory::onPlaced(AgentIndex index, TimePoint now)
+{
+    Agent &agent = this->agents[index];
+    agent.placed += 1;
+    if (agent.unanswered++ == 0)
+        agent.unansweredSince = now;
+}
+
+void AgentDirectory::forgetSilent(TimePoint now)
+{
+    for (Agent &agent : this->agents) {
+        if (!agent.isPresent || now - agent.heard <= memory)
+            continue;
+        agent.isPresent = false;
+        if (agent.isEnded)
+            continue;
+        agent.hasLostGeneration = true;
+        agent.lastLostGeneration = agent.generation;
+    }
+}
+
+bool AgentDirectory::isResponding(const Agent &agent, TimePoint now) const
+{
+    const Duration limit = agent.report.interval * silentIntervals + silentMargin;
+    const bool isIgnoring = agent.unanswered >= unansweredLimit
+                            && now - agent.unansweredSince > unansweredTime
+                            && agent.heard < agent.unansweredSince;
+    return agent.isPresent && now - agent.heard <= limit && !isIgnoring;
+}
+
+bool AgentDirectory::hasSilent(TimePoint now) const
+{
+    return std::any_of(this->agents.begin(), this->agents.end(), [&](const Agent &agent) {
+        return agent.isPresent && !agent.isEnded && !this->isResponding(agent, now);
+    });
+}
+
+OwnerState AgentDirectory::ownerState(AgentIndex index, std::uint8_t generation) const
+{
+    if (index >= this->agents.size())
+        return OwnerState::Lost;
+    const Agent &agent = this->agents[index];
+    if (agent.generation == generation) {
+        if (agent.isEnded)
+            return OwnerState::Ended;
+        return agent.isPresent ? OwnerState::Present : OwnerState::Lost;
+    }
+    return agent.hasLostGeneration && agent.lastLostGeneration == generation ? OwnerState::Lost
+                                                                             : OwnerState::Ended;
+}
+
+std::vector<AgentIndex> AgentDirectory::holders() const
+{
+    std::vector<AgentIndex> result;
+    for (std::size_t i = 0; i < this->agents.size(); ++i) {
+        if (this->agents[i].isPresent && !this->agents[i].isEnded)
+            result.push_back(AgentIndex(i));
+    }
+    return result;
+}
+
+AgentDirectory::ServiceMeans AgentDirectory::meansOf(const ServiceName &service) const
+{
+    double flows = 0;
+    double requests = 0;
+    double bytes = 0;
+    std::int64_t measured = 0;
+    std::int64_t measuredBytes = 0;
+    Duration total{};
+    for (const Agent &agent : this->agents) {
+        if (!agent.isPresent || agent.report.service != service)
+            continue;
+        flows += agent.report.flows;
+        requests += agent.report.requestsPerSecond;
+        if (agent.report.serviceTime > Duration::zero()) {
+            total += agent.report.serviceTime;
+            ++measured;
+        }
+        if (agent.report.responseBytes > 0) {
+            bytes += agent.report.responseBytes;
+            ++measuredBytes;
+        }
+    }
+    ServiceMeans means{ .serviceTime =
+                                measured > 0 ? total / measured : Duration(assumedServiceTime),
+                        .requestsPerFlow = assumedRequestsPerFlow,
+                        .responseBytes = measuredBytes > 0 ? bytes / double(measuredBytes) : 0 };
+    if (flows > 0 && requests > 0)
+        means.requestsPerFlow = std::min(requests / flows, mostRequestsPerFlow);
+    return means;
+}
+
+Duration AgentDirectory::costOf(const Agent &agent, const ServiceMeans &means) const
+{
+    const AgentReport &report = agent.report;
+    return expectedCost({ .slots = report.slots,
+                          .flows = double(report.flows) + agent.placed,
+                          .requestsInProgress = report.requestsInProgress,
+                          .serviceTime = report.serviceTime > Duration::zero()
+                                                 ? Duration(report.serviceTime)
+                                                 : means.serviceTime,
+                          .requestsPerFlow = means.requestsPerFlow,
+                          .isOtherZone = report.zone != this->options.zone,
+                          .responseBytes = means.responseBytes,
+                          .costPerKilobyte = this->options.costPerKilobyte });
+}
+
+std::vector<AgentIndex> AgentDirectory::candidates(ServiceName service, const FleetState &state,
+                                                   std::uint64_t tieBreak, TimePoint now) const
+{
+    struct Choice
+    {
+        AgentIndex agent = 0;
+        bool isSilent = false;
+        double cost = 0;
+    };
+    const ServiceMeans means = this->meansOf(service);
+    std::vector<Choice> choices;
+    for (std::size_t i = 0; i < this->agents.size(); ++i) {
+        const Agent &agent = this->agents[i];
+        if (!agent.isPresent || agent.report.service != service
+            || agent.report.phase != ServerPhase::Ready || state.isEvacuated(agent.report.zone))
+            continue;
+        const double cost = std::chrono::duration<double>(this->costOf(agent, means)).count();
+        // A small share that differs by flow, so that equal agents get equal numbers of flows.
+        const std::uint64_t mixed =
+                (tieBreak ^ (i * 0x9E3779B97F4A7C15ull)) * 0xD6E8FEB86659FD93ull;
+        const double jitter = 1 + tieShare * double(mixed >> 40) / double(1 << 24);
+        choices.push_back({ .agent = AgentIndex(i),
+                            .isSilent = !this->isResponding(agent, now),
+                            .cost = cost * jitter });
+    }
+    std::sort(choices.begin(), choices.end(), [](const Choice &a, const Choice &b) {
+        return a.isSilent != b.isSilent ? b.isSilent : a.cost < b.cost;
+    });
+    std::vector<AgentIndex> result;
+    for (const Choice &choice : choices)
+        result.push_back(choice.agent);
+    return result;
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/balancer.h
@@ -0,0 +1,175 @@
+#ifndef CACTUSDECK_MESH_BALANCER_H
+#define CACTUSDECK_MESH_BALANCER_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "core/flowcache.h"
+#include "core/frame.h"
+#include "mesh/agentdirectory.h"
+#include "mesh/flowsearch.h"
+#include "mesh/peerset.h"
+#include "mesh/segment.h"
+#include "mesh/sink.h"
+#include "mesh/statereader.h"
+
+// An entry instance: places new flows at agents and hands packets of known flows to their agents.
+// It owns no flow. What it remembers of flows can be lost at any time; the agents are asked then.
+//
+//     Balancer balancer({ .name = ..., .zone = ..., .codec = &codec, ... });
+//     balancer.start(now, sink);
+//     balancer.onCallerPacket(bytes, now, sink);      // from the fabric
+//     balancer.onDatagram(bytes, from, now, sink);    // frames and messages of other nodes
+//     balancer.onTimer(now, sink);                    // at nextTimer()
+//     for (const StoreQuery &query : balancer.takeQueries(now)) ...
+//     if (const auto peer = balancer.takeFetch()) ... // ask it for its state
+//
+// The class does no I/O and reads no clock. All times passed in must not go backwards.
+
+namespace cactusdeck::mesh {
+
+struct BalancerOptions
+{
+    NodeId name;
+    ZoneName zone;
+    Endpoint mesh; // own endpoint for frames and messages
+    std::vector<Endpoint> seeds; // mesh endpoints of balancers
+    const SegmentCodec *codec = nullptr;
+    StateReader::ConfigurationDecoder decodeConfiguration;
+    Duration costPerKilobyte{}; // of bytes that leave the failure domain
+    std::size_t flowCacheEntries = 1 << 14; // 16 bytes each
+    std::uint64_t seed = 0;
+};
+
+// Since the start; packets unless stated otherwise.
+struct BalancerCounters
+{
+    std::uint64_t packets = 0; // from callers
+    std::uint64_t malformed = 0;
+    std::uint64_t placed = 0; // opening packets given to an agent
+    std::uint64_t placedInZone = 0; // of these, to one of the own failure domain
+    std::uint64_t forwarded = 0; // to the remembered agent of their flow
+    std::uint64_t searches = 0; // flows
+    std::uint64_t searchesFound = 0; // flows
+    std::uint64_t searchesExpired = 0; // flows
+    std::uint64_t resetNoRoute = 0;
+    std::uint64_t resetNoServer = 0;
+    std::uint64_t resetEnded = 0; // flows whose backend server is gone
+    std::uint64_t dropped = 0;
+    std::uint64_t stateChanges = 0;
+};
+
+class Balancer
+{
+public:
+    explicit Balancer(BalancerOptions options);
+
+    void start(TimePoint now, Sink &sink);
+    void onCallerPacket(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink);
+    void onDatagram(std::span<const std::uint8_t> datagram, Endpoint from, TimePoint now,
+                    Sink &sink);
+
+    std::vector<StoreQuery> takeQueries(TimePoint now);
+    void onStoreResult(const StoreResult &result, TimePoint now, Sink &sink);
+    // A peer whose state is newer and should be fetched.
+    std::optional<Endpoint> takeFetch();
+    void onFetched(Endpoint peer, std::span<const std::uint8_t> state, TimePoint now, Sink &sink);
+    void onFetchFailed(Endpoint peer, Sink &sink);
+    const FleetState &state() const { return this->fleet; }
+
+    // Mesh endpoints found in the directory.
+    void addBalancers(const std::vector<Endpoint> &balancers, TimePoint now, Sink &sink);
+    bool needsDirectory(TimePoint now) const;
+
+    TimePoint nextTimer() const;
+    void onTimer(TimePoint now, Sink &sink);
+    // The machine stood still: what peers and the store said meanwhile is unknown.
+    void onPaused(TimePoint now, Sink &sink);
+    // Leaves the fabric, and ends once no packets have come for a while.
+    void stop(TimePoint now, Sink &sink);
+    bool isStopped(TimePoint now) const;
+    // Whether the fabric should send packets here.
+    bool isReady(TimePoint now) const;
+
+    const BalancerCounters &counters() const { return this->counts; }
+    const AgentDirectory &agents() const { return this->directory; }
+    std::size_t liveBalancers(TimePoint now) const { return this->peers.live(now).size() + 1; }
+    const StateReader &reader() const { return this->storeReader; }
+
+private:
+    static constexpr std::chrono::milliseconds helloInterval{ 500 };
+    static constexpr double helloBytesPerSecond = 3000; // under half of the budget of 7 KB/s
+    static constexpr double helloBytes = 90;
+    static constexpr double helloBytesPerPeer = 6;
+    // Agents and peers answer a new balancer within a second; before that its view is partial.
+    static constexpr std::chrono::milliseconds settleTime{ 1200 };
+    // A flow is called lost only by a balancer that must have heard of every agent.
+    static constexpr std::chrono::milliseconds certainTime{ 3000 };
+    static constexpr std::chrono::milliseconds housekeepingInterval{ 250 };
+    // Nodes that read the store; the others hear from them.
+    static constexpr std::size_t readers = 3;
+    // A new balancer without state asks the store itself if peers have not told it by then.
+    static constexpr std::chrono::milliseconds firstStateDelay{ 400 };
+    // A store that could not be reached is tried again by a low-ranked reader after this time.
+    static constexpr std::chrono::milliseconds storeRetryTime{ 4000 };
+    static constexpr std::size_t placementHops = 4;
+    // The second copy of an opening packet means that its first agent may be gone.
+    static constexpr std::uint32_t copyOfDoubt = 2;
+    static constexpr std::chrono::milliseconds stopQuiet{ 1000 };
+    // Of the time that the platform grants a stopping process (6 s).
+    static constexpr std::chrono::milliseconds stopLimit{ 4500 };
+    static constexpr std::chrono::milliseconds directoryDelay{ 1500 };
+
+    struct PeerState
+    {
+        bool isStoreReachable = true;
+    };
+
+    void onOpening(const Segment &segment, const Route &route, TimePoint now, Sink &sink);
+    void onEstablished(const Segment &segment, TimePoint now, Sink &sink);
+    void onNoRoute(const Segment &segment, TimePoint now, Sink &sink);
+    void search(const Segment &segment, std::uint64_t flowHash, TimePoint now, Sink &sink);
+    void onSearchAnswer(std::uint64_t flowHash, AgentIndex agent, SearchAnswer answer,
+                        TimePoint now, Sink &sink);
+    void probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink);
+    void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    bool mayHold(const FlowKey &key, AgentIndex agent) const;
+    void forward(const Segment &segment, AgentIndex agent, std::uint8_t flags, Sink &sink);
+    void reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink);
+    void onReply(const ReplyFrame &reply, TimePoint now, Sink &sink);
+    void onHello(const BalancerHello &hello, Endpoint from, TimePoint now, Sink &sink);
+    void onReport(const AgentReport &report, Endpoint from, TimePoint now, Sink &sink);
+    void notify(AgentIndex agent, TimePoint now, Sink &sink);
+    void onStateChanged(const char *source, TimePoint now, Sink &sink);
+    void sendHello(Endpoint to, bool wantsAnswer, TimePoint now, Sink &sink);
+    void sendHellos(bool wantsAnswer, TimePoint now, Sink &sink);
+    void chooseReaders(TimePoint now);
+    std::chrono::milliseconds interval() const;
+    static std::uint32_t stampOf(TimePoint now);
+
+    BalancerOptions options;
+    FleetState fleet;
+    AgentDirectory directory;
+    PeerSet peers;
+    std::map<Endpoint, PeerState> peerStates;
+    FlowCache cache;
+    FlowSearches searches;
+    StateReader storeReader;
+    BalancerCounters counts;
+    std::optional<Endpoint> fetchFrom;
+    bool isFetching = false;
+    TimePoint startedAt;
+    TimePoint nextHello;
+    TimePoint nextHousekeeping;
+    TimePoint lastPacket;
+    TimePoint storeLostAt{};
+    bool isStopping = false;
+    TimePoint stoppingAt;
+};
+
+} // namespace cactusdeck::mesh
+
+#endif // CACTUSDECK_MESH_BALANCER_H
--- /dev/null
+++ b/mesh/fleetstate.cpp
@@ -0,0 +1,165 @@
+#include "mesh/fleetstate.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include <nlohmann/json.hpp>
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+using nlohmann::json;
+
+// Independent of the bits that other tables take from a flow's hash.
+constexpr int splitHashShift = 24;
+
+json toJson(const FleetConfiguration &configuration)
+{
+    json routes = json::array();
+    for (const auto &[address, route] : configuration.routes) {
+        json targets = json::array();
+        for (const WeightedService &target : route.targets)
+            targets.push_back({ target.service, target.weight });
+        routes.push_back({ address, targets, route.targetLatency.count(), route.priority });
+    }
+    json services = json::array();
+    for (const auto &[name, limits] : configuration.services)
+        services.push_back({ name, limits.connections, limits.coldFlowsPerSecond });
+    return { { "version", configuration.version },
+             { "routes", routes },
+             { "services", services },
+             { "idleTimeout", configuration.idleTimeout.count() } };
+}
+
+ConfigurationPointer configurationFrom(const json &document)
+{
+    auto result = std::make_shared<FleetConfiguration>();
+    document.at("version").get_to(result->version);
+    for (const json &entry : document.at("routes")) {
+        Route route;
+        for (const json &target : entry.at(1))
+            route.targets.push_back({ target.at(0), target.at(1) });
+        route.targetLatency = std::chrono::milliseconds(entry.at(2).get<std::int64_t>());
+        entry.at(3).get_to(route.priority);
+        if (!route.targets.empty())
+            result->routes.emplace(entry.at(0).get<Endpoint>(), std::move(route));
+    }
+    for (const json &entry : document.at("services"))
+        result->services[entry.at(0)] = { .connections = entry.at(1),
+                                          .coldFlowsPerSecond = entry.at(2) };
+    result->idleTimeout = std::chrono::milliseconds(document.at("idleTimeout").get<std::int64_t>());
+    return result;
+}
+
+} // namespace
+
+const ServiceName &Route::serviceFor(std::uint64_t flowHash) const
+{
+    const std::uint64_t total = std::accumulate(
+            this->targets.begin(), this->targets.end(), std::uint64_t(0),
+            [](std::uint64_t sum, const WeightedService &target) { return sum + target.weight; });
+    if (total == 0)
+        return this->targets.front().service;
+    std::uint64_t point = (flowHash >> splitHashShift) % total;
+    for (const WeightedService &target : this->targets) {
+        if (point < target.weight)
+            return target.service;
+        point -= target.weight;
+    }
+    return this->targets.back().service;
+}
+
+bool Route::hasTarget(const ServiceName &service) const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(),
+                       [&](const WeightedService &target) { return target.service == service; });
+}
+
+bool FleetState::adoptConfiguration(Revision revision, ConfigurationPointer configuration)
+{
+    if (configuration == nullptr || revision <= this->routesRevision)
+        return false;
+    if (this->routes != nullptr) {
+        for (const auto &[address, route] : this->routes->routes) {
+            const auto next = configuration->routes.find(address);
+            if (next == configuration->routes.end())
+                this->dropped.insert(address);
+            for (const WeightedService &target : route.targets) {
+                if (next == configuration->routes.end() || !next->second.hasTarget(target.service))
+                    this->former[address].insert(target.service);
+            }
+        }
+        for (const auto &[address, route] : configuration->routes)
+            this->dropped.erase(address);
+    }
+    this->routes = std::move(configuration);
+    this->routesRevision = revision;
+    return true;
+}
+
+bool FleetState::mayServe(Endpoint address, const ServiceName &service) const
+{
+    if (const auto past = this->former.find(address);
+        past != this->former.end() && past->second.contains(service))
+        return true;
+    if (this->routes == nullptr)
+        return false;
+    const auto route = this->routes->routes.find(address);
+    return route != this->routes->routes.end() && route->second.hasTarget(service);
+}
+
+bool FleetState::adoptEvacuations(Revision revision, std::set<ZoneName> evacuatedZones)
+{
+    if (revision <= this->zonesRevision)
+        return false;
+    // The first answer of the store is news even if no zone is out.
+    if (this->zonesRevision != 0 && evacuatedZones == this->zones)
+        return false;
+    this->zones = std::move(evacuatedZones);
+    this->zonesRevision = revision;
+    return true;
+}
+
+bool FleetState::adopt(const FleetState &other)
+{
+    const bool isConfigurationNew = this->adoptConfiguration(other.routesRevision, other.routes);
+    const bool areZonesNew = this->adoptEvacuations(other.zonesRevision, other.zones);
+    // The same zones under a later revision: following it ends the exchange between two nodes.
+    if (other.zonesRevision > this->zonesRevision && other.zones == this->zones)
+        this->zonesRevision = other.zonesRevision;
+    return isConfigurationNew || areZonesNew;
+}
+
+std::vector<std::uint8_t> FleetState::encode() const
+{
+    json document = { { "zonesRevision", this->zonesRevision }, { "zones", json::array() } };
+    for (const ZoneName &zone : this->zones)
+        document["zones"].push_back(zone);
+    if (this->routes != nullptr) {
+        document["revision"] = this->routesRevision;
+        document["configuration"] = toJson(*this->routes);
+    }
+    return json::to_cbor(document);
+}
+
+std::optional<FleetState> FleetState::decode(std::span<const std::uint8_t> bytes)
+{
+    try {
+        const json document = json::from_cbor(bytes.begin(), bytes.end());
+        FleetState state;
+        document.at("zonesRevision").get_to(state.zonesRevision);
+        for (const json &zone : document.at("zones"))
+            state.zones.insert(zone.get<ZoneName>());
+        if (document.contains("configuration")) {
+            document.at("revision").get_to(state.routesRevision);
+            state.routes = configurationFrom(document.at("configuration"));
+        }
+        return state;
+    } catch (const json::exception &) {
+        // The caller logs the sender of a malformed state.
+        return std::nullopt;
+    }
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/peermessage.cpp
@@ -0,0 +1,163 @@
+#include "mesh/peermessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+using nlohmann::json;
+
+// Differs from frameVersion, the first byte of data frames.
+constexpr std::uint8_t peerMessageMark = 0xC1;
+constexpr std::size_t endpointBytes = 6;
+
+json toBytes(const std::vector<Endpoint> &endpoints)
+{
+    json::binary_t bytes;
+    bytes.reserve(endpoints.size() * endpointBytes);
+    for (const Endpoint &endpoint : endpoints) {
+        for (int shift = 24; shift >= 0; shift -= 8)
+            bytes.push_back(std::uint8_t(endpoint.address >> shift));
+        bytes.push_back(std::uint8_t(endpoint.port >> 8));
+        bytes.push_back(std::uint8_t(endpoint.port));
+    }
+    return json::binary(std::move(bytes));
+}
+
+std::vector<Endpoint> endpointsFrom(const json &value)
+{
+    const json::binary_t &bytes = value.get_binary();
+    std::vector<Endpoint> endpoints;
+    for (std::size_t i = 0; i + endpointBytes <= bytes.size(); i += endpointBytes) {
+        Endpoint endpoint;
+        for (std::size_t j = 0; j < 4; ++j)
+            endpoint.address = (endpoint.address << 8) | bytes[i + j];
+        endpoint.port = std::uint16_t((bytes[i + 4] << 8) | bytes[i + 5]);
+        endpoints.push_back(endpoint);
+    }
+    return endpoints;
+}
+
+// Positional arrays keep a message in one small datagram; the index is that of the variant.
+json toJson(const BalancerHello &hello)
+{
+    return { 0,
+             hello.name,
+             hello.zone,
+             hello.configuration,
+             hello.evacuation,
+             hello.isStoreReachable,
+             hello.isLeaving,
+             hello.wantsAnswer,
+             toBytes(hello.balancers) };
+}
+
+json toJson(const AgentReport &report)
+{
+    return { 1,
+             report.name,
+             report.zone,
+             report.service,
+             report.serverIncarnation,
+             std::uint8_t(report.phase),
+             report.isCold,
+             report.slots,
+             report.flows,
+             report.requestsInProgress,
+             report.requestsPerSecond,
+             report.serviceTime.count(),
+             report.responseBytes,
+             report.interval.count() };
+}
+
+json toJson(const BalancerNotice &notice)
+{
+    return { 2,
+             notice.configuration,
+             notice.evacuation,
+             notice.isZoneEvacuated,
+             notice.limits.connections,
+             notice.limits.coldFlowsPerSecond,
+             notice.idleTimeout.count(),
+             toBytes(notice.balancers) };
+}
+
+BalancerHello helloFrom(const json &value)
+{
+    return { .name = value.at(1),
+             .zone = value.at(2),
+             .configuration = value.at(3),
+             .evacuation = value.at(4),
+             .isStoreReachable = value.at(5),
+             .isLeaving = value.at(6),
+             .wantsAnswer = value.at(7),
+             .balancers = endpointsFrom(value.at(8)) };
+}
+
+AgentReport reportFrom(const json &value)
+{
+    const std::uint8_t phase = value.at(5).get<std::uint8_t>();
+    return { .name = value.at(1),
+             .zone = value.at(2),
+             .service = value.at(3),
+             .serverIncarnation = value.at(4),
+             .phase = phase <= std::uint8_t(ServerPhase::Ended) ? ServerPhase(phase)
+                                                                : ServerPhase::Unknown,
+             .isCold = value.at(6),
+             .slots = value.at(7),
+             .flows = value.at(8),
+             .requestsInProgress = value.at(9),
+             .requestsPerSecond = value.at(10),
+             .serviceTime = std::chrono::microseconds(value.at(11).get<std::int64_t>()),
+             .responseBytes = value.at(12),
+             .interval = std::chrono::milliseconds(value.at(13).get<std::int64_t>()) };
+}
+
+BalancerNotice noticeFrom(const json &value)
+{
+    return { .configuration = value.at(1),
+             .evacuation = value.at(2),
+             .isZoneEvacuated = value.at(3),
+             .limits = { .connections = value.at(4), .coldFlowsPerSecond = value.at(5) },
+             .idleTimeout = std::chrono::milliseconds(value.at(6).get<std::int64_t>()),
+             .balancers = endpointsFrom(value.at(7)) };
+}
+
+} // namespace
+
+bool isPeerMessage(std::span<const std::uint8_t> datagram)
+{
+    return !datagram.empty() && datagram.front() == peerMessageMark;
+}
+
+std::vector<std::uint8_t> encode(const PeerMessage &message)
+{
+    std::vector<std::uint8_t> bytes = { peerMessageMark };
+    json::to_cbor(std::visit([](const auto &value) { return toJson(value); }, message), bytes);
+    return bytes;
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::span<const std::uint8_t> datagram)
+{
+    if (!isPeerMessage(datagram))
+        return std::nullopt;
+    try {
+        const json value = json::from_cbor(datagram.begin() + 1, datagram.end());
+        switch (value.at(0).get<int>()) {
+        case 0:
+            return helloFrom(value);
+        case 1:
+            return reportFrom(value);
+        case 2:
+            return noticeFrom(value);
+        default:
+            return std::nullopt;
+        }
+    } catch (const json::exception &) {
+        // The caller counts and logs malformed datagrams with their sender.
+        return std::nullopt;
+    }
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/serverflows.cpp
@@ -0,0 +1,147 @@
+#include "mesh/serverflows.h"
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+// More than a server sends before the caller's first acknowledgement arrives.
+constexpr std::uint32_t acknowledgedRange = 1 << 20;
+
+} // namespace
+
+bool ServerFlow::isAcknowledgedBy(const Segment &segment) const
+{
+    return this->isAnswered
+           && segment.acknowledgement - (this->serverSequence + 1) < acknowledgedRange;
+}
+
+bool ServerFlow::isOpenedBy(const Segment &opening) const
+{
+    return !this->hasEnded && this->openingSequence.value_or(opening.sequence) == opening.sequence;
+}
+
+ServerFlow *ServerFlows::find(const FlowKey &key)
+{
+    const auto it = this->flows.find(key);
+    return it == this->flows.end() ? nullptr : &it->second;
+}
+
+ServerFlow &ServerFlows::open(const FlowKey &key, TimePoint now)
+{
+    this->erase(key, now);
+    ServerFlow &flow = this->flows[key];
+    flow.lastActive = now;
+    ++this->live;
+    return flow;
+}
+
+ServerFlow &ServerFlows::adopt(const FlowKey &key, TimePoint now)
+{
+    ServerFlow &flow = this->open(key, now);
+    flow.isOpen = true;
+    flow.isAnswered = true;
+    return flow;
+}
+
+void ServerFlows::erase(const FlowKey &key, TimePoint now)
+{
+    const auto it = this->flows.find(key);
+    if (it == this->flows.end())
+        return;
+    this->end(it->second, now);
+    this->flows.erase(it);
+}
+
+void ServerFlows::clear(TimePoint now)
+{
+    this->flows.clear();
+    this->live = 0;
+    this->serverLoad.reset(now);
+}
+
+void ServerFlows::end(ServerFlow &flow, TimePoint now)
+{
+    this->abandonRequest(flow, now);
+    if (flow.hasEnded)
+        return;
+    flow.hasEnded = true;
+    --this->live;
+}
+
+void ServerFlows::abandonRequest(ServerFlow &flow, TimePoint now)
+{
+    if (!flow.isInProgress)
+        return;
+    flow.isInProgress = false;
+    this->serverLoad.onAbandoned(now);
+}
+
+void ServerFlows::onCaller(ServerFlow &flow, const Segment &segment, TimePoint now)
+{
+    flow.lastActive = now;
+    if (segment.has(tcpflag::rst)) {
+        this->end(flow, now);
+        return;
+    }
+    const std::uint32_t dataEnd = segment.sequence + segment.payloadLength;
+    const bool isNew = segment.payloadLength > 0
+                       && (!flow.hasCallerData || isBefore(flow.callerNext, dataEnd));
+    if (isNew) {
+        flow.hasCallerData = true;
+        flow.callerNext = dataEnd;
+        if (!flow.isInProgress && !flow.hasEnded) {
+            flow.isInProgress = true;
+            flow.requestedAt = now;
+            flow.inProgressBefore = this->serverLoad.onRequest(now);
+        }
+    }
+    if (segment.has(tcpflag::fin)) {
+        flow.isCallerFinished = true;
+        this->abandonRequest(flow, now);
+        if (flow.isServerFinished)
+            this->end(flow, now);
+    }
+}
+
+void ServerFlows::onServer(ServerFlow &flow, const Segment &segment, std::uint32_t slots,
+                           TimePoint now)
+{
+    flow.lastActive = now;
+    if (segment.isOpeningAnswer()) {
+        flow.isAnswered = true;
+        flow.serverSequence = segment.sequence;
+        flow.remaining.clear();
+    }
+    if (segment.payloadLength > 0) {
+        this->serverLoad.onResponseBytes(segment.payloadLength);
+        if (flow.isInProgress) {
+            flow.isInProgress = false;
+            this->serverLoad.onResponse(now - flow.requestedAt, flow.inProgressBefore, slots, now);
+        }
+    }
+    if (segment.has(tcpflag::fin))
+        flow.isServerFinished = true;
+    if (segment.has(tcpflag::rst) || (flow.isServerFinished && flow.isCallerFinished))
+        this->end(flow, now);
+}
+
+void ServerFlows::expire(std::chrono::milliseconds idleTimeout, TimePoint now)
+{
+    for (auto it = this->flows.begin(); it != this->flows.end();) {
+        ServerFlow &flow = it->second;
+        if (flow.isInProgress && now - flow.requestedAt > requestTimeout)
+            this->abandonRequest(flow, now);
+        const Duration idle = now - flow.lastActive;
+        const Duration limit = flow.hasEnded ? Duration(endedTimeout)
+                               : flow.isOpen ? Duration(idleTimeout)
+                                             : Duration(openingTimeout);
+        if (idle > limit) {
+            this->end(flow, now);
+            it = this->flows.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/serverload.cpp
@@ -0,0 +1,89 @@
+#include "mesh/serverload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+double decay(Duration passed, Duration timeConstant)
+{
+    return std::exp(-std::chrono::duration<double>(passed)
+                    / std::chrono::duration<double>(timeConstant));
+}
+
+// Responses after which the byte counts are halved, so that the mean follows the traffic.
+constexpr std::uint64_t responseMemory = 64;
+
+} // namespace
+
+void ServerLoad::advance(TimePoint now)
+{
+    if (now <= this->updated)
+        return;
+    const Duration passed = now - this->updated;
+    const double kept = decay(passed, meanTime);
+    this->mean = this->mean * kept + double(this->current) * (1 - kept);
+    this->rate *= decay(passed, rateTime);
+    this->updated = now;
+}
+
+std::uint32_t ServerLoad::onRequest(TimePoint now)
+{
+    this->advance(now);
+    this->rate += 1 / std::chrono::duration<double>(rateTime).count();
+    return this->current++;
+}
+
+void ServerLoad::onResponse(Duration latency, std::uint32_t inProgressBefore, std::uint32_t slots,
+                            TimePoint now)
+{
+    this->onAbandoned(now);
+    ++this->responses;
+    if (this->responses >= responseMemory) {
+        this->responses /= 2;
+        this->bytes /= 2;
+    }
+    // Requests beyond the slots wait for a share of the others' service times.
+    const double waiting =
+            inProgressBefore >= slots ? double(inProgressBefore + 1) / double(slots) : 1;
+    const auto sample = std::chrono::duration_cast<Duration>(latency / waiting);
+    if (this->service == Duration::zero())
+        this->service = sample;
+    else
+        this->service += (sample - this->service) / serviceTimeSamples;
+}
+
+void ServerLoad::onAbandoned(TimePoint now)
+{
+    this->advance(now);
+    this->current -= std::min<std::uint32_t>(1, this->current);
+}
+
+void ServerLoad::reset(TimePoint now)
+{
+    *this = ServerLoad();
+    this->updated = now;
+}
+
+double ServerLoad::meanInProgress(TimePoint now) const
+{
+    ServerLoad copy = *this;
+    copy.advance(now);
+    return copy.mean;
+}
+
+double ServerLoad::requestsPerSecond(TimePoint now) const
+{
+    ServerLoad copy = *this;
+    copy.advance(now);
+    return copy.rate;
+}
+
+double ServerLoad::responseBytes() const
+{
+    return this->responses == 0 ? 0 : double(this->bytes) / double(this->responses);
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/serverrecord.cpp
@@ -0,0 +1,57 @@
+#include "mesh/serverrecord.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+std::uint64_t runOf(const std::string &instance, std::int64_t startedAt)
+{
+    const std::uint64_t hash =
+            XXH3_64bits_withSeed(instance.data(), instance.size(), std::uint64_t(startedAt));
+    return hash == 0 ? 1 : hash;
+}
+
+} // namespace
+
+HeartbeatVerdict ServerRecord::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
+{
+    const std::uint64_t run = runOf(heartbeat.instance, heartbeat.startedAt);
+    const bool isFirst = this->current.id == 0;
+    const bool isSame = run == this->current.id;
+    if (isSame && heartbeat.sequence <= this->current.sequence)
+        return HeartbeatVerdict::Stale;
+    const bool isReplaced =
+            std::find(this->replaced.begin(), this->replaced.end(), run) != this->replaced.end();
+    if (isReplaced && now - this->current.lastHeard < replacedRunSilence)
+        return HeartbeatVerdict::Stale;
+    if (!isSame && !isFirst) {
+        this->replaced.push_back(this->current.id);
+        if (this->replaced.size() > rememberedRuns)
+            this->replaced.pop_front();
+        this->hasNoEarlierFlows = true;
+    }
+    const bool wasEnded = isSame && this->currentPhase == ServerPhase::Ended;
+    this->current = { .id = run, .sequence = heartbeat.sequence, .lastHeard = now };
+    this->instance = heartbeat.instance;
+    this->slotCount = std::max<std::uint32_t>(1, heartbeat.slots);
+    // A heartbeat gives the remaining time, so the local clock need not agree with the server's.
+    this->coldUntil = now + heartbeat.coldFor;
+    if (!wasEnded)
+        this->currentPhase = heartbeat.isDraining ? ServerPhase::Draining : ServerPhase::Ready;
+    return isSame || isFirst ? HeartbeatVerdict::Updated : HeartbeatVerdict::NewServer;
+}
+
+bool ServerRecord::onDeregister(const std::string &leaving, std::int64_t startedAt)
+{
+    if (this->current.id == 0 || leaving != this->instance
+        || (startedAt != 0 && runOf(leaving, startedAt) != this->current.id))
+        return false;
+    this->currentPhase = ServerPhase::Ended;
+    return true;
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/meshd/agentdaemon.cpp
@@ -0,0 +1,122 @@
+#include "meshd/agentdaemon.h"
+
+#include "mesh/agent.h"
+#include "meshd/metricstext.h"
+#include "meshd/reload.h"
+#include "meshd/shell.h"
+#include "platform/heartbeat.h"
+#include "platform/segmentcodec.h"
+
+namespace cactusdeck::meshd {
+
+namespace {
+
+constexpr std::string_view metricsTarget = "/metrics";
+
+class AgentDaemon
+{
+public:
+    AgentDaemon(const Settings &nodeSettings, std::string settingsFile)
+        : settings(nodeSettings)
+        , file(std::move(settingsFile))
+        , shell({ .mesh = settings.mesh,
+                  .packets = settings.outbound,
+                  .server = settings.server,
+                  .callerPort = settings.packets.port,
+                  .http = { settings.control, settings.metrics },
+                  .store = settings.store,
+                  .logLevel = settings.logLevel })
+        , agent({ .name = settings.id,
+                  .zone = settings.zone,
+                  .service = settings.service,
+                  .mesh = settings.mesh,
+                  .server = settings.server,
+                  .seeds = settings.seeds,
+                  .codec = &platform::segmentCodec })
+    { }
+
+    Result<void> run()
+    {
+        BOOST_LEAF_CHECK(this->shell.open(this->handlers()));
+        this->agent.start(Shell::now(), this->shell);
+        this->shell.run();
+        return {};
+    }
+
+private:
+    ShellHandlers handlers()
+    {
+        return {
+            .onMeshDatagram =
+                    [this](std::span<const std::uint8_t> bytes, Endpoint from, TimePoint now) {
+                        this->agent.onDatagram(bytes, from, now, this->shell);
+                    },
+            .onPacket =
+                    [this](std::span<const std::uint8_t> bytes, Endpoint, TimePoint now) {
+                        this->agent.onServerPacket(bytes, now, this->shell);
+                    },
+            .onTimer = [this](TimePoint now) { this->agent.onTimer(now, this->shell); },
+            .nextTimer = [this] { return this->agent.nextTimer(); },
+            // Heartbeats and reports go on by themselves after a pause.
+            .onPaused =
+                    [this](TimePoint) {
+                        this->shell.log(Level::Warning, "machine_was_paused", {});
+                    },
+            .onStop = [this](TimePoint now) { this->agent.stop(now, this->shell); },
+            .isStopped = [this](TimePoint) { return this->agent.isStopped(); },
+            .onReload =
+                    [this](TimePoint now) {
+                        this->agent.addBalancers(reloadSeeds(NodeRole::Agent, this->file,
+                                                             this->settings, this->shell),
+                                                 now, this->shell);
+                    },
+            .afterEvent = [](TimePoint) {},
+            .onHttp = [this](const HttpRequest &request) { return this->answer(request); },
+            .needsDirectory = [this](TimePoint now) { return this->agent.needsDirectory(now); },
+            .onDirectory =
+                    [this](const std::vector<Endpoint> &found, TimePoint now) {
+                        this->agent.addBalancers(found, now, this->shell);
+                    },
+        };
+    }
+
+    HttpAnswer answer(const HttpRequest &request)
+    {
+        const TimePoint now = Shell::now();
+        if (request.target == metricsTarget)
+            return { .body = metricsText(this->agent, this->shell.logWriter(), now),
+                     .contentType = "text/plain" };
+        const platform::ServerCall call =
+                platform::decodeCall(request.method, request.target, request.body);
+        if (const auto *heartbeat = std::get_if<mesh::Heartbeat>(&call)) {
+            if (this->agent.onHeartbeat(*heartbeat, now, this->shell))
+                return { .body = "{}" };
+            return { .status = 400, .body = R"({"error":"not the server of this agent"})" };
+        }
+        if (const auto *leaving = std::get_if<platform::Deregistration>(&call)) {
+            this->agent.onDeregister(leaving->instance, leaving->startedAt, now, this->shell);
+            return { .body = "{}" };
+        }
+        if (const auto *malformed = std::get_if<platform::MalformedCall>(&call)) {
+            this->shell.log(Level::Warning, "heartbeat_malformed",
+                            { { "target", request.target }, { "reason", malformed->reason } });
+            return { .status = 400, .body = R"({"error":"malformed"})" };
+        }
+        return { .status = 404, .body = R"({"error":"not found"})" };
+    }
+
+    Settings settings;
+    std::string file;
+    Shell shell;
+    mesh::Agent agent;
+};
+
+} // namespace
+
+Result<void> runAgent(const Settings &settings, const std::string &file)
+{
+    AgentDaemon daemon(settings, file);
+    return daemon.run();
+}
+
+} // namespace cactusdeck::meshd
--- /dev/null
+++ b/meshd/balancerdaemon.cpp
@@ -0,0 +1,214 @@
+#include "meshd/balancerdaemon.h"
+
+#include <random>
+
+#include "mesh/balancer.h"
+#include "meshd/metricstext.h"
+#include "meshd/reload.h"
+#include "meshd/shell.h"
+#include "platform/heartbeat.h"
+#include "platform/objects.h"
+#include "platform/segmentcodec.h"
+
+namespace cactusdeck::meshd {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view metricsTarget = "/metrics";
+constexpr std::string_view stateTarget = "/state"; // for other balancers
+constexpr std::chrono::milliseconds listTimeout{ 1500 };
+// Beyond the time that the store may hold a watch.
+constexpr std::chrono::milliseconds watchMargin{ 1500 };
+constexpr std::chrono::milliseconds fetchTimeout{ 1000 };
+// The directory serves nodes that start later, so writing the entry may wait.
+constexpr std::chrono::milliseconds registrationDelay{ 2000 };
+constexpr std::chrono::milliseconds registrationRetry{ 5000 };
+constexpr std::chrono::milliseconds registrationTimeout{ 2000 };
+
+class BalancerDaemon
+{
+public:
+    BalancerDaemon(const Settings &nodeSettings, std::string settingsFile)
+        : settings(nodeSettings)
+        , file(std::move(settingsFile))
+        , shell({ .mesh = settings.mesh,
+                  .packets = settings.packets,
+                  .callerPort = settings.packets.port,
+                  .http = httpEndpoints(settings),
+                  .store = settings.store,
+                  .logLevel = settings.logLevel })
+        , balancer({ .name = settings.id,
+                     .zone = settings.zone,
+                     .mesh = settings.mesh,
+                     .seeds = settings.seeds,
+                     .codec = &platform::segmentCodec,
+                     .decodeConfiguration = platform::decodeConfiguration,
+                     .costPerKilobyte = settings.costPerKilobyte,
+                     .seed = std::random_device()() })
+    { }
+
+    Result<void> run()
+    {
+        BOOST_LEAF_CHECK(this->shell.open(this->handlers()));
+        this->nextRegistration = Shell::now() + registrationDelay;
+        this->balancer.start(Shell::now(), this->shell);
+        this->shell.run();
+        return {};
+    }
+
+private:
+    static std::vector<Endpoint> httpEndpoints(const Settings &settings)
+    {
+        std::vector<Endpoint> endpoints = { settings.readiness, settings.metrics, settings.mesh };
+        // Backend servers may try a balancer; they get a clear answer.
+        if (settings.control != Endpoint{})
+            endpoints.push_back(settings.control);
+        return endpoints;
+    }
+
+    ShellHandlers handlers()
+    {
+        return {
+            .onMeshDatagram =
+                    [this](std::span<const std::uint8_t> bytes, Endpoint from, TimePoint now) {
+                        this->balancer.onDatagram(bytes, from, now, this->shell);
+                    },
+            .onPacket =
+                    [this](std::span<const std::uint8_t> bytes, Endpoint, TimePoint now) {
+                        this->balancer.onCallerPacket(bytes, now, this->shell);
+                    },
+            .onTimer = [this](TimePoint now) { this->balancer.onTimer(now, this->shell); },
+            .nextTimer = [this] { return this->balancer.nextTimer(); },
+            .onPaused = [this](TimePoint now) { this->balancer.onPaused(now, this->shell); },
+            .onStop = [this](TimePoint now) { this->balancer.stop(now, this->shell); },
+            .isStopped = [this](TimePoint now) { return this->balancer.isStopped(now); },
+            .onReload =
+                    [this](TimePoint now) {
+                        this->balancer.addBalancers(reloadSeeds(NodeRole::Balancer, this->file,
+                                                                this->settings, this->shell),
+                                                    now, this->shell);
+                    },
+            .afterEvent = [this](TimePoint now) { this->callOthers(now); },
+            .onHttp = [this](const HttpRequest &request) { return this->answer(request); },
+            .needsDirectory = [this](TimePoint now) { return this->balancer.needsDirectory(now); },
+            .onDirectory =
+                    [this](const std::vector<Endpoint> &found, TimePoint now) {
+                        this->balancer.addBalancers(found, now, this->shell);
+                    },
+        };
+    }
+
+    void callOthers(TimePoint now)
+    {
+        for (const mesh::StoreQuery &query : this->balancer.takeQueries(now))
+            this->askStore(query);
+        if (const std::optional<Endpoint> peer = this->balancer.takeFetch())
+            this->fetchState(*peer);
+        if (!this->isRegistered && now >= this->nextRegistration)
+            this->registerNode(now);
+    }
+
+    void askStore(const mesh::StoreQuery &query)
+    {
+        const auto timeout = query.since == 0 ? listTimeout : query.wait + watchMargin;
+        this->shell.call({ .to = this->settings.store,
+                           .target = platform::targetOf(query),
+                           .timeout = timeout },
+                         [this, query](unsigned status, const std::string &body, TimePoint now) {
+                             this->balancer.onStoreResult(platform::resultOf(query, status, body),
+                                                          now, this->shell);
+                         });
+    }
+
+    void fetchState(Endpoint peer)
+    {
+        this->shell.call(
+                { .to = peer, .target = std::string(stateTarget), .timeout = fetchTimeout },
+                [this, peer](unsigned status, const std::string &body, TimePoint now) {
+                    if (status != 200)
+                        return this->balancer.onFetchFailed(peer, this->shell);
+                    const auto *bytes = reinterpret_cast<const std::uint8_t *>(body.data());
+                    this->balancer.onFetched(peer, { bytes, body.size() }, now, this->shell);
+                });
+    }
+
+    // Writes the directory entry; an entry of an earlier run on another address is replaced.
+    void registerNode(TimePoint now)
+    {
+        this->nextRegistration = now + registrationRetry;
+        this->shell.call(
+                { .to = this->settings.store,
+                  .method = "POST",
+                  .target = platform::directoryTarget(),
+                  .body = platform::encodeDirectoryEntry(this->settings.id, this->settings.mesh),
+                  .timeout = registrationTimeout },
+                [this](unsigned status, const std::string &body, TimePoint) {
+                    const bool isWritten = status >= 200 && status < 300;
+                    if (isWritten
+                        || (status == 409 && platform::isSameEntry(body, this->settings.mesh)))
+                        this->isRegistered = true;
+                    else if (status == 409)
+                        this->replaceEntry();
+                    else
+                        this->logRegistration(status);
+                });
+    }
+
+    void replaceEntry()
+    {
+        this->shell.call(
+                { .to = this->settings.store,
+                  .method = "PUT",
+                  .target = platform::directoryEntryTarget(this->settings.id),
+                  .body = platform::encodeDirectoryEntry(this->settings.id, this->settings.mesh),
+                  .timeout = registrationTimeout },
+                [this](unsigned status, const std::string &, TimePoint) {
+                    this->isRegistered = status >= 200 && status < 300;
+                    if (!this->isRegistered)
+                        this->logRegistration(status);
+                });
+    }
+
+    void logRegistration(unsigned status)
+    {
+        this->shell.log(Level::Warning, "registration_failed",
+                        { { "status", std::to_string(status) } });
+    }
+
+    HttpAnswer answer(const HttpRequest &request)
+    {
+        const TimePoint now = Shell::now();
+        if (request.target == metricsTarget)
+            return { .body = metricsText(this->balancer, this->shell.logWriter(), now),
+                     .contentType = "text/plain" };
+        if (request.target == stateTarget) {
+            const std::vector<std::uint8_t> state = this->balancer.state().encode();
+            return { .body = std::string(state.begin(), state.end()),
+                     .contentType = "application/cbor" };
+        }
+        const platform::ServerCall call =
+                platform::decodeCall(request.method, request.target, request.body);
+        if (std::holds_alternative<platform::ReadinessProbe>(call))
+            return { .status = this->balancer.isReady(now) ? 200u : 503u };
+        return { .status = 404, .body = R"({"error":"not found"})" };
+    }
+
+    Settings settings;
+    std::string file;
+    Shell shell;
+    mesh::Balancer balancer;
+    bool isRegistered = false;
+    TimePoint nextRegistration;
+};
+
+} // namespace
+
+Result<void> runBalancer(const Settings &settings, const std::string &file)
+{
+    BalancerDaemon daemon(settings, file);
+    return daemon.run();
+}
+
+} // namespace cactusdeck::meshd
--- /dev/null
+++ b/meshd/http.h
@@ -0,0 +1,75 @@
+#ifndef CACTUSDECK_MESHD_HTTP_H
+#define CACTUSDECK_MESHD_HTTP_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "core/error.h"
+#include "core/types.h"
+
+// HTTP/1.1 on the loop of a daemon, through Boost.Beast.
+//
+//     HttpServer server(io, [](const HttpRequest &request) { return HttpAnswer{ .status = 200 };
+//     }); BOOST_LEAF_CHECK(server.listen(endpoint)); callHttp(io, { .to = store, .target = "/...",
+//     .timeout = 2s },
+//              [](unsigned status, std::string body) { ... });
+
+namespace cactusdeck::meshd {
+
+struct HttpRequest
+{
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+struct HttpAnswer
+{
+    unsigned status = 200;
+    std::string body;
+    const char *contentType = "application/json";
+};
+
+class HttpServer
+{
+public:
+    using Handler = std::function<HttpAnswer(const HttpRequest &)>;
+
+    HttpServer(boost::asio::io_context &io, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    // May be called for several endpoints. Errors are of kind Io.
+    Result<void> listen(Endpoint endpoint);
+
+private:
+    struct Listener;
+    struct Session;
+
+    boost::asio::io_context &io;
+    std::shared_ptr<const Handler> handler;
+    std::vector<std::shared_ptr<Listener>> listeners;
+};
+
+struct HttpCall
+{
+    Endpoint to;
+    std::string method = "GET";
+    std::string target;
+    std::string body;
+    Duration timeout{}; // of the whole call
+};
+
+// status is 0 when no whole answer came in time.
+using HttpCallback = std::function<void(unsigned status, std::string body)>;
+
+void callHttp(boost::asio::io_context &io, HttpCall call, HttpCallback callback);
+
+} // namespace cactusdeck::meshd
+
+#endif // CACTUSDECK_MESHD_HTTP_H
--- /dev/null
+++ b/meshd/metricstext.cpp
@@ -0,0 +1,119 @@
+#include "meshd/metricstext.h"
+
+#include <array>
+
+namespace cactusdeck::meshd {
+
+namespace {
+
+template <typename Counters>
+struct NamedCounter
+{
+    const char *name;
+    std::uint64_t Counters::*value;
+};
+
+using mesh::AgentCounters;
+using mesh::BalancerCounters;
+
+constexpr std::array balancerCounters = {
+    NamedCounter<BalancerCounters>{ "packets_total", &BalancerCounters::packets },
+    NamedCounter<BalancerCounters>{ "malformed_total", &BalancerCounters::malformed },
+    NamedCounter<BalancerCounters>{ "flows_placed_total", &BalancerCounters::placed },
+    NamedCounter<BalancerCounters>{ "flows_placed_in_zone_total", &BalancerCounters::placedInZone },
+    NamedCounter<BalancerCounters>{ "packets_forwarded_total", &BalancerCounters::forwarded },
+    NamedCounter<BalancerCounters>{ "flow_searches_total", &BalancerCounters::searches },
+    NamedCounter<BalancerCounters>{ "flow_searches_found_total", &BalancerCounters::searchesFound },
+    NamedCounter<BalancerCounters>{ "flow_searches_expired_total",
+                                    &BalancerCounters::searchesExpired },
+    NamedCounter<BalancerCounters>{ "resets_no_route_total", &BalancerCounters::resetNoRoute },
+    NamedCounter<BalancerCounters>{ "resets_no_server_total", &BalancerCounters::resetNoServer },
+    NamedCounter<BalancerCounters>{ "resets_ended_total", &BalancerCounters::resetEnded },
+    NamedCounter<BalancerCounters>{ "packets_dropped_total", &BalancerCounters::dropped },
+    NamedCounter<BalancerCounters>{ "state_changes_total", &BalancerCounters::stateChanges },
+};
+
+constexpr std::array agentCounters = {
+    NamedCounter<AgentCounters>{ "flows_admitted_total", &AgentCounters::admitted },
+    NamedCounter<AgentCounters>{ "flows_passed_on_total", &AgentCounters::passedOn },
+    NamedCounter<AgentCounters>{ "flows_refused_total", &AgentCounters::refused },
+    NamedCounter<AgentCounters>{ "packets_to_server_total", &AgentCounters::toServer },
+    NamedCounter<AgentCounters>{ "packets_to_caller_total", &AgentCounters::toCaller },
+    NamedCounter<AgentCounters>{ "packets_bounced_total", &AgentCounters::bounced },
+    NamedCounter<AgentCounters>{ "flows_adopted_total", &AgentCounters::adopted },
+    NamedCounter<AgentCounters>{ "resets_server_lost_flow_total", &AgentCounters::resetFlows },
+    NamedCounter<AgentCounters>{ "unknown_flow_total", &AgentCounters::unknownFlow },
+    NamedCounter<AgentCounters>{ "packets_dropped_evacuated_total",
+                                 &AgentCounters::droppedEvacuated },
+    NamedCounter<AgentCounters>{ "malformed_total", &AgentCounters::malformed },
+    NamedCounter<AgentCounters>{ "heartbeats_total", &AgentCounters::heartbeats },
+    NamedCounter<AgentCounters>{ "heartbeats_stale_total", &AgentCounters::staleHeartbeats },
+    NamedCounter<AgentCounters>{ "heartbeats_rejected_total", &AgentCounters::rejectedHeartbeats },
+};
+
+class Text
+{
+public:
+    template <typename Value>
+    void add(const char *name, Value value)
+    {
+        this->text += std::string("cactusdeck_") + name + " " + std::to_string(value) + "\n";
+    }
+    template <typename Counters, std::size_t N>
+    void add(const std::array<NamedCounter<Counters>, N> &table, const Counters &counters)
+    {
+        for (const NamedCounter<Counters> &entry : table)
+            this->add(entry.name, counters.*(entry.value));
+    }
+    void add(const LogWriter &log)
+    {
+        this->add("log_lines_total", log.lines());
+        this->add("log_lines_left_out_total", log.dropped());
+    }
+
+    std::string text;
+};
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+std::string metricsText(const mesh::Balancer &balancer, const LogWriter &log, TimePoint now)
+{
+    Text text;
+    text.add(balancerCounters, balancer.counters());
+    const mesh::FleetState &state = balancer.state();
+    text.add("configuration_version",
+             state.configuration() == nullptr ? 0 : state.configuration()->version);
+    text.add("configuration_revision", state.configurationRevision());
+    text.add("evacuation_revision", state.evacuationRevision());
+    text.add("zones_evacuated", state.evacuated().size());
+    text.add("agents_known", balancer.agents().holders().size());
+    text.add("balancers_live", balancer.liveBalancers(now));
+    text.add("ready", int(balancer.isReady(now)));
+    text.add("store_queries_total", balancer.reader().queries());
+    text.add("store_queries_failed_total", balancer.reader().failed());
+    if (balancer.reader().lastAnswer() != TimePoint{})
+        text.add("store_answer_age_seconds", seconds(now - balancer.reader().lastAnswer()));
+    text.add(log);
+    return std::move(text.text);
+}
+
+std::string metricsText(const mesh::Agent &agent, const LogWriter &log, TimePoint now)
+{
+    Text text;
+    text.add(agentCounters, agent.counters());
+    text.add("server_phase", int(agent.server().phase()));
+    text.add("server_cold", int(agent.server().isCold(now)));
+    text.add("flows_open", agent.flowCount());
+    text.add("requests_in_progress", agent.load().inProgress());
+    text.add("requests_per_second", agent.load().requestsPerSecond(now));
+    text.add("service_time_seconds", seconds(agent.load().serviceTime()));
+    text.add(log);
+    return std::move(text.text);
+}
+
+} // namespace cactusdeck::meshd
--- /dev/null
+++ b/meshd/program.cpp
@@ -0,0 +1,85 @@
+#include "meshd/program.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <docopt/docopt.h>
+
+#include "meshd/agentdaemon.h"
+#include "meshd/balancerdaemon.h"
+#include "node/outcome.h"
+#include "platform/settingspath.h"
+
+namespace cactusdeck::meshd {
+
+namespace {
+
+constexpr const char *usage = R"(cactusdeck-mesh: a balancer, or the agent beside a backend server.
+
+Usage:
+  cactusdeck-mesh (balancer | agent) [--settings FILE]
+  cactusdeck-mesh (balancer | agent) --check-settings FILE
+  cactusdeck-mesh --help
+  cactusdeck-mesh --version
+
+Options:
+  --settings FILE        Run with these settings; by default the file that the platform names.
+  --check-settings FILE  Check the settings and exit.
+  --help                 Show this text.
+  --version              Show the version.
+
+SIGTERM and SIGINT stop the daemon gracefully; SIGHUP makes it read its settings again.
+)";
+
+int reportError(const Error &error)
+{
+    std::cerr << "cactusdeck-mesh: " << error.message << '\n';
+    return answerOf(error.kind).exitCode;
+}
+
+std::string settingsFileOf(const std::map<std::string, docopt::value> &arguments)
+{
+    if (arguments.at("--settings").isString())
+        return arguments.at("--settings").asString();
+    const char *path = std::getenv(platform::settingsPathVariable);
+    return path == nullptr ? "" : path;
+}
+
+int runRole(NodeRole role, const std::string &file)
+{
+    if (file.empty())
+        return reportError({ ErrorKind::InvalidArgument, "--settings FILE is missing" });
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto settings = outcomeOf([&] { return loadSettings(role, file); });
+    if (!settings)
+        return reportError(settings.error);
+    const auto result = outcomeOf([&] {
+        return role == NodeRole::Balancer ? runBalancer(*settings.value, file)
+                                          : runAgent(*settings.value, file);
+    });
+    return result ? 0 : reportError(result.error);
+}
+
+int checkSettings(NodeRole role, const std::string &file)
+{
+    const auto settings = outcomeOf([&] { return loadSettings(role, file); });
+    if (!settings)
+        return reportError(settings.error);
+    std::cout << file << ": valid\n";
+    return 0;
+}
+
+} // namespace
+
+int runProgram(int argc, char **argv)
+{
+    const auto arguments =
+            docopt::docopt(usage, { argv + 1, argv + argc }, true, CACTUSDECK_VERSION);
+    const NodeRole role = arguments.at("balancer").asBool() ? NodeRole::Balancer : NodeRole::Agent;
+    if (arguments.at("--check-settings").isString())
+        return checkSettings(role, arguments.at("--check-settings").asString());
+    return runRole(role, settingsFileOf(arguments));
+}
+
+} // namespace cactusdeck::meshd
--- a/node/logging.h
+++ b/node/logging.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 
+#include "core/eventformat.h"
 #include "core/outbox.h"
 #include "node/metrics.h"
 #include "node/settings.h"
@@ -21,10 +22,6 @@
 
 namespace cactusdeck {
 
-// Values with spaces, quotes, control characters, '=' or no character at all are quoted, with
-// backslash escapes.
-std::string formatEvent(const Event &event);
-
 inline constexpr std::size_t defaultLogCapacity = 8192; // lines
 
 struct EventLogOptions
