Find flows while agents are missing

An agent whose server was gone had started for a moment and vanished; balancers waited for its answer, 150 ms each time, and never gave the packet to the servers that held the flow.

Change: silent agents are asked and not waited for; after 30 ms a search goes on to the servers of the agents that are unsure, and such a search can find a flow but never calls it lost. The state is read 60 ms after the start if no peer tells it. An agent that starts in an evacuated zone gives its open flows no new grace.

Ruled out: lost datagrams (the same agent was missing each time).

Test: findsFlowsWhileAnAgentIsMissing failed before the change.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -397,11 +397,13 @@
     }
     if (notice.evacuation <= this->evacuation)
         return;
+    const bool isFirst = this->evacuation == 0;
     this->evacuation = notice.evacuation;
     if (notice.isZoneEvacuated == this->isEvacuated)
         return;
     this->isEvacuated = notice.isZoneEvacuated;
-    this->evacuatedAt = now;
+    // An agent that finds its zone evacuated when it starts can't tell for how long.
+    this->evacuatedAt = isFirst ? this->startedAt : now;
     sink.log(Level::Warning, this->isEvacuated ? "zone_evacuated" : "zone_returned",
              { { "zone", this->options.zone.value },
                { "revision", std::to_string(notice.evacuation) },
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -44,7 +44,7 @@
                { "mesh", toString(this->options.mesh) },
                { "seeds", std::to_string(this->options.seeds.size()) } });
     this->sendHellos(true, now, sink);
-    this->nextHousekeeping = now + housekeepingInterval;
+    this->nextHousekeeping = now + firstStateDelay;
 }
 
 void Balancer::onCallerPacket(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink)
@@ -197,7 +197,13 @@
         return;
     }
     const std::vector<AgentIndex> holders = this->directory.holders();
-    FlowSearch *search = this->searches.begin(flowHash, holders, now);
+    // Silent agents are asked too, but not waited for; while there are any, no flow is called lost.
+    std::vector<AgentIndex> responding;
+    for (const AgentIndex agent : holders) {
+        if (this->directory.isResponding(this->directory.at(agent), now))
+            responding.push_back(agent);
+    }
+    FlowSearch *search = this->searches.begin(segment.key, responding, now);
     if (search == nullptr || holders.empty()) {
         this->searches.erase(flowHash);
         ++this->counts.dropped;
@@ -233,10 +239,32 @@
     if (stage == SearchStage::Exhausted)
         this->finishSearch(flowHash, now, sink);
     else if (stage == SearchStage::Probing && before == SearchStage::Asking)
-        this->probe(flowHash, *search, now, sink);
+        this->probe(flowHash, *search, true, now, sink);
+}
+
+void Balancer::onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink)
+{
+    FlowSearch *search = this->searches.find(flowHash);
+    const std::vector<AgentIndex> &missing = search->missing();
+    const bool mayGoOn = search->stage() == SearchStage::Asking && !search->unsure().empty();
+    sink.log(Level::Info, mayGoOn ? "search_unanswered" : "search_expired",
+             { { "flow", toString(search->key()) },
+               { "stage", search->stage() == SearchStage::Asking ? "asking" : "probing" },
+               { "missing", std::to_string(missing.size()) },
+               { "first_missing",
+                 missing.empty() ? "none"
+                                 : this->directory.at(missing.front()).report.name.value } });
+    if (mayGoOn) {
+        search->endAsking();
+        this->probe(flowHash, *search, false, now, sink);
+        return;
+    }
+    ++this->counts.searchesExpired;
+    this->searches.erase(flowHash);
 }
 
-void Balancer::probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink)
+void Balancer::probe(std::uint64_t flowHash, FlowSearch &search, bool isComplete, TimePoint now,
+                     Sink &sink)
 {
     const std::vector<std::uint8_t> packet = search.packets().front();
     const std::optional<Segment> segment = this->options.codec->parse(packet);
@@ -247,7 +275,7 @@
         if (this->mayHold(segment->key, agent))
             agents.push_back(agent);
     }
-    search.probe(agents, agents.size() == search.unsure().size(), now);
+    search.probe(agents, isComplete && agents.size() == search.unsure().size(), now);
     if (agents.empty()) {
         this->searches.erase(flowHash);
         return;
@@ -573,10 +601,8 @@
 
 void Balancer::onTimer(TimePoint now, Sink &sink)
 {
-    if (const std::size_t expired = this->searches.expire(now)) {
-        this->counts.searchesExpired += expired;
-        sink.log(Level::Info, "searches_expired", { { "flows", std::to_string(expired) } });
-    }
+    for (const std::uint64_t flowHash : this->searches.due(now))
+        this->onSearchDue(flowHash, now, sink);
     if (now >= this->nextHousekeeping) {
         this->nextHousekeeping = now + housekeepingInterval;
         this->directory.forgetSilent(now);
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -116,8 +116,8 @@
     static constexpr std::chrono::milliseconds housekeepingInterval{ 250 };
     // Nodes that read the store; the others hear from them.
     static constexpr std::size_t readers = 3;
-    // A new balancer that hears no peer by then asks the store itself.
-    static constexpr std::chrono::milliseconds firstStateDelay{ 400 };
+    // Peers that run have told a new balancer their state by then. If not, readers ask the store.
+    static constexpr std::chrono::milliseconds firstStateDelay{ 60 };
     // A store that could not be reached is tried again by a low-ranked reader after this time.
     static constexpr std::chrono::milliseconds storeRetryTime{ 4000 };
     static constexpr std::size_t placementHops = 4;
@@ -139,7 +139,9 @@
     void search(const Segment &segment, std::uint64_t flowHash, TimePoint now, Sink &sink);
     void onSearchAnswer(std::uint64_t flowHash, AgentIndex agent, SearchAnswer answer,
                         TimePoint now, Sink &sink);
-    void probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink);
+    void onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    void probe(std::uint64_t flowHash, FlowSearch &search, bool isComplete, TimePoint now,
+               Sink &sink);
     void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
     bool mayHold(const FlowKey &key, AgentIndex agent) const;
     void forward(const Segment &segment, AgentIndex agent, std::uint8_t flags, Sink &sink);
--- a/mesh/flows_test.cpp
+++ b/mesh/flows_test.cpp
@@ -278,4 +278,24 @@
     BOOST_TEST(this->world.agent("a1").server.openings.size() < 20u);
 }
 
+// One agent that has vanished must not keep the flows of the others from being found, and nothing
+// is called lost meanwhile.
+BOOST_AUTO_TEST_CASE(findsFlowsWhileAnAgentIsMissing)
+{
+    this->world.addAgent("a3", "zone-b", "booking");
+    this->world.run(1s);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.restartAgent("a1");
+    this->world.restartAgent("a2");
+    this->world.run(3s);
+    this->world.agent("a3").isUp = false;
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
+    // Unknown at all that answer, but a3 may hold it.
+    this->world.fromCaller(
+            "b2",
+            { .source = callerOf(9), .destination = booking, .length = 10, .flags = tcpflag::ack });
+    this->world.run(2s);
+    BOOST_TEST(this->world.resetsTo(callerOf(9)) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/mesh/flowsearch.cpp
+++ b/mesh/flowsearch.cpp
@@ -4,8 +4,9 @@
 
 namespace cactusdeck::mesh {
 
-FlowSearch::FlowSearch(std::vector<AgentIndex> asked, TimePoint begun)
-    : waiting(std::move(asked))
+FlowSearch::FlowSearch(const FlowKey &searched, std::vector<AgentIndex> asked, TimePoint begun)
+    : flow(searched)
+    , waiting(std::move(asked))
     , until(begun + askTime)
 { }
 
@@ -49,19 +50,22 @@
     return it == this->searches.end() ? nullptr : &it->second;
 }
 
-FlowSearch *FlowSearches::begin(std::uint64_t flowHash, std::vector<AgentIndex> agents,
-                                TimePoint now)
+FlowSearch *FlowSearches::begin(const FlowKey &flow, std::vector<AgentIndex> agents, TimePoint now)
 {
     if (this->searches.size() >= capacity)
         return nullptr;
-    return &this->searches.insert_or_assign(flowHash, FlowSearch(std::move(agents), now))
+    return &this->searches.insert_or_assign(hashOf(flow), FlowSearch(flow, std::move(agents), now))
                     .first->second;
 }
 
-std::size_t FlowSearches::expire(TimePoint now)
+std::vector<std::uint64_t> FlowSearches::due(TimePoint now) const
 {
-    return std::erase_if(this->searches,
-                         [&](const auto &entry) { return now >= entry.second.deadline(); });
+    std::vector<std::uint64_t> hashes;
+    for (const auto &[hash, search] : this->searches) {
+        if (now >= search.deadline())
+            hashes.push_back(hash);
+    }
+    return hashes;
 }
 
 TimePoint FlowSearches::nextDeadline() const
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -34,26 +34,32 @@
     static constexpr std::size_t heldPackets = 4;
 
     FlowSearch() = default;
-    FlowSearch(std::vector<AgentIndex> asked, TimePoint begun);
+    FlowSearch(const FlowKey &flow, std::vector<AgentIndex> asked, TimePoint begun);
 
     void hold(std::span<const std::uint8_t> packet);
     // Returns the stage after the answer. Answers of agents that were not asked don't count.
     SearchStage onAnswer(AgentIndex agent, SearchAnswer answer);
-    // The unsure agents whose servers get the packet; the others must not get it and leave the
-    // search without an end.
+    // The answers that are missing are not waited for any longer.
+    void endAsking() { this->currentStage = SearchStage::Probing; }
+    // The agents whose servers get the packet. An incomplete search can find the flow, but never
+    // ends with the finding that nobody holds it.
     void probe(std::vector<AgentIndex> agents, bool isComplete, TimePoint now);
 
+    const FlowKey &key() const { return this->flow; }
     SearchStage stage() const { return this->currentStage; }
+    // Agents whose answer is missing.
+    const std::vector<AgentIndex> &missing() const { return this->waiting; }
     const std::vector<AgentIndex> &unsure() const { return this->unsureAgents; }
     const std::vector<std::vector<std::uint8_t>> &packets() const { return this->held; }
     TimePoint deadline() const { return this->until; }
 
 private:
-    // Answers take one round trip, below 10 ms; a longer wait than the caller's first
-    // retransmission (200 ms) helps nobody.
-    static constexpr std::chrono::milliseconds askTime{ 150 };
+    // Answers take one round trip, below 10 ms between failure domains of a region.
+    static constexpr std::chrono::milliseconds askTime{ 30 };
+    // Below the caller's first retransmission (200 ms), which starts the next search.
     static constexpr std::chrono::milliseconds probeTime{ 150 };
 
+    FlowKey flow;
     std::vector<AgentIndex> waiting;
     std::vector<AgentIndex> unsureAgents;
     std::vector<std::vector<std::uint8_t>> held;
@@ -69,10 +75,10 @@
 
     FlowSearch *find(std::uint64_t flowHash);
     // Null when there are too many.
-    FlowSearch *begin(std::uint64_t flowHash, std::vector<AgentIndex> agents, TimePoint now);
+    FlowSearch *begin(const FlowKey &flow, std::vector<AgentIndex> agents, TimePoint now);
     void erase(std::uint64_t flowHash) { this->searches.erase(flowHash); }
-    // Gives up searches past their deadline. Returns their number.
-    std::size_t expire(TimePoint now);
+    // The flows whose searches are past their deadline.
+    std::vector<std::uint64_t> due(TimePoint now) const;
     TimePoint nextDeadline() const;
     std::size_t size() const { return this->searches.size(); }
 
