Tell callers at once that the server of their flow is gone

Change: an agent resets the open flows of a server that another run replaced or that has deregistered and had 0.5 s to exit. A new balancer learns from its peers which agents may hold flows, so 0.8 s are enough; only silent agents that may hold the very flow keep it from being called lost.

Ruled out: resets by agents that merely don't know a flow (another may).

Tests: tellsIdleCallersThatTheirServerHasGone and aNewBalancerKnowsOfAgentsThroughItsPeers failed before the change.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -345,7 +345,7 @@
         return true;
     }
     if (verdict == HeartbeatVerdict::NewServer)
-        this->forgetServer(now);
+        this->endAllFlows("server_replaced", now, sink);
     const bool isChanged = before != this->phase() || runBefore != this->record.incarnation()
                            || wasCold != this->record.isCold(now);
     if (isChanged) {
@@ -361,10 +361,23 @@
     return true;
 }
 
-void Agent::forgetServer(TimePoint now)
+void Agent::endAllFlows(const char *reason, TimePoint now, Sink &sink)
 {
+    std::uint64_t count = 0;
+    this->flows.forEachOpen([&](const FlowKey &key, const ServerFlow &flow) {
+        const Segment last{ .key = key,
+                            .flags = tcpflag::ack,
+                            .acknowledgement = flow.callerAcknowledgement };
+        sink.toCaller(key.source, this->options.codec->resetFor(last));
+        this->reply(Verdict::UnknownFlow, key, flow.balancer, sink);
+        ++count;
+    });
+    this->mustEndFlows = false;
+    this->counts.resetFlows += count;
     this->flows.clear(now);
     this->probes.clear();
+    sink.log(Level::Info, "flows_reset",
+             { { "count", std::to_string(count) }, { "reason", reason } });
 }
 
 void Agent::onDeregister(const std::string &instance, std::int64_t startedAt, TimePoint now,
@@ -376,6 +389,7 @@
     if (!isCurrent)
         return;
     this->deregisteredAt = now;
+    this->mustEndFlows = true;
     this->reportSoon(now);
 }
 
@@ -491,6 +505,8 @@
 TimePoint Agent::nextTimer() const
 {
     TimePoint next = std::min(this->nextReport, this->nextExpiry);
+    if (this->mustEndFlows)
+        next = std::min(next, this->deregisteredAt + exitDelay + std::chrono::milliseconds(1));
     return this->isStopping ? std::min(next, this->nextStopCheck) : next;
 }
 
@@ -503,6 +519,8 @@
         std::erase_if(this->probes,
                       [&](const auto &entry) { return now - entry.second.sentAt > probeMemory; });
     }
+    if (this->mustEndFlows && this->hasServerExited(now))
+        this->endAllFlows("server_exited", now, sink);
     if (now >= this->nextReport)
         this->report(now, sink);
     if (!this->isStopping || now < this->nextStopCheck)
@@ -523,6 +541,9 @@
     sink.log(Level::Info, "stop_requested",
              { { "flows", std::to_string(this->flows.openCount()) },
                { "in_progress", std::to_string(this->flows.load().inProgress()) } });
+    // The platform stops an agent for good only after its server has terminated.
+    if (this->mustEndFlows)
+        this->endAllFlows("server_exited", now, sink);
     this->report(now, sink);
 }
 
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -156,7 +156,8 @@
     void passOn(const Opening &opening, const Segment &segment, const Decline &decline, Sink &sink);
     void reply(Verdict verdict, const FlowKey &key, Endpoint balancer, Sink &sink);
     void resetCaller(const Segment &segment, const char *reason, Sink &sink);
-    void forgetServer(TimePoint now);
+    // The server is gone: callers of open flows are told before they send another request.
+    void endAllFlows(const char *reason, TimePoint now, Sink &sink);
     void report(TimePoint now, Sink &sink);
     void reportSoon(TimePoint now);
     bool hasFlowCountChanged() const;
@@ -189,6 +190,7 @@
     TimePoint stoppingAt;
     TimePoint nextStopCheck;
     TimePoint deregisteredAt;
+    bool mustEndFlows = false; // once the server has exited
 };
 
 } // namespace cactusdeck::mesh
--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -15,14 +15,30 @@
     return it->second;
 }
 
+bool AgentDirectory::insert(Endpoint endpoint)
+{
+    if (this->indices.contains(endpoint))
+        return true;
+    if (this->agents.size() > std::numeric_limits<AgentIndex>::max())
+        return false;
+    this->indices[endpoint] = AgentIndex(this->agents.size());
+    this->agents.push_back({ .endpoint = endpoint });
+    return true;
+}
+
+void AgentDirectory::expect(Endpoint endpoint, TimePoint now)
+{
+    if (this->indices.contains(endpoint) || !this->insert(endpoint))
+        return;
+    Agent &agent = this->agents.back();
+    agent.isPresent = true;
+    agent.heard = now;
+}
+
 bool AgentDirectory::onReport(const AgentReport &report, Endpoint from, TimePoint now)
 {
-    if (!this->indices.contains(from)) {
-        if (this->agents.size() > std::numeric_limits<AgentIndex>::max())
-            return false;
-        this->indices[from] = AgentIndex(this->agents.size());
-        this->agents.push_back({ .endpoint = from });
-    }
+    if (!this->insert(from))
+        return false;
     Agent &agent = this->agents[this->indices[from]];
     const bool isNews = !agent.isPresent || agent.report.phase != report.phase
                         || agent.report.serverIncarnation != report.serverIncarnation;
@@ -82,13 +98,6 @@
     return agent.isPresent && now - agent.heard <= limit && !isIgnoring;
 }
 
-bool AgentDirectory::hasSilent(TimePoint now) const
-{
-    return std::any_of(this->agents.begin(), this->agents.end(), [&](const Agent &agent) {
-        return agent.isPresent && !agent.isEnded && !this->isResponding(agent, now);
-    });
-}
-
 OwnerState AgentDirectory::ownerState(AgentIndex index, std::uint8_t generation) const
 {
     if (index >= this->agents.size())
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -59,6 +59,8 @@
 
     // True if the agent is new or has another phase, so that placements change.
     bool onReport(const AgentReport &report, Endpoint from, TimePoint now);
+    // An agent that another balancer knows. It may hold flows before it is heard here.
+    void expect(Endpoint agent, TimePoint now);
     // Any other sign of life.
     void onHeard(Endpoint from, TimePoint now);
     void onPlaced(AgentIndex agent, TimePoint now);
@@ -76,8 +78,6 @@
     const Agent &at(AgentIndex agent) const { return this->agents[agent]; }
     std::optional<AgentIndex> find(Endpoint endpoint) const;
     const std::vector<Agent> &all() const { return this->agents; }
-    // Agents that can't be ruled out and have not been heard for a while.
-    bool hasSilent(TimePoint now) const;
 
 private:
     // Three reports and the time that one may take.
@@ -103,6 +103,8 @@
         double responseBytes = 0;
     };
 
+    // False when there is no room for another endpoint.
+    bool insert(Endpoint endpoint);
     ServiceMeans meansOf(const ServiceName &service) const;
     Duration costOf(const Agent &agent, const ServiceMeans &means) const;
 
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -228,6 +228,17 @@
     return this->fleet.mayServe(key.destination, this->directory.at(agent).report.service);
 }
 
+bool Balancer::hasSilentHolder(const FlowKey &key, TimePoint now) const
+{
+    const std::vector<AgentIndex> holders = this->directory.holders();
+    return std::any_of(holders.begin(), holders.end(), [&](AgentIndex index) {
+        const AgentDirectory::Agent &agent = this->directory.at(index);
+        const bool isUnknown = agent.report.service.value.empty();
+        return !this->directory.isResponding(agent, now)
+               && (isUnknown || this->mayHold(key, index));
+    });
+}
+
 void Balancer::onSearchAnswer(std::uint64_t flowHash, AgentIndex agent, SearchAnswer answer,
                               TimePoint now, Sink &sink)
 {
@@ -293,11 +304,12 @@
     this->searches.erase(flowHash);
     this->cache.erase(flowHash);
     const std::optional<Segment> segment = this->options.codec->parse(packet);
-    const bool isCertain = now - this->startedAt >= certainTime && !this->directory.hasSilent(now);
     if (!segment)
         return;
-    // A packet without data ends a flow or acknowledges; its caller doesn't wait for anything.
-    if (isCertain && segment->payloadLength > 0) {
+    const bool isCertain =
+            now - this->startedAt >= certainTime && !this->hasSilentHolder(segment->key, now);
+    // The sender of a mere acknowledgement doesn't wait for anything.
+    if (isCertain && (segment->payloadLength > 0 || segment->has(tcpflag::fin))) {
         this->reset(*segment, "flow_unknown", this->counts.resetEnded, sink);
         return;
     }
@@ -489,15 +501,33 @@
                          Sink &sink)
 {
     this->isFetching = false;
-    const std::optional<FleetState> decoded = FleetState::decode(state);
+    const nlohmann::json document =
+            nlohmann::json::from_cbor(state.begin(), state.end(), true, false);
+    const bool isWhole = document.is_array() && document.size() == 2 && document[0].is_binary()
+                         && document[1].is_binary();
+    const std::optional<FleetState> decoded =
+            isWhole ? FleetState::decode(document[0].get_binary()) : std::nullopt;
     if (!decoded) {
         sink.log(Level::Error, "state_malformed", { { "peer", toString(peer) } });
         return;
     }
+    for (const Endpoint &agent : decodeEndpoints(document[1].get_binary()))
+        this->directory.expect(agent, now);
     if (this->fleet.adopt(*decoded))
         this->onStateChanged("peer", now, sink);
 }
 
+std::vector<std::uint8_t> Balancer::encodeState() const
+{
+    std::vector<Endpoint> agents;
+    for (const AgentIndex agent : this->directory.holders())
+        agents.push_back(this->directory.at(agent).endpoint);
+    nlohmann::json document = nlohmann::json::array();
+    document.push_back(nlohmann::json::binary(this->fleet.encode()));
+    document.push_back(nlohmann::json::binary(encodeEndpoints(agents)));
+    return nlohmann::json::to_cbor(document);
+}
+
 void Balancer::onFetchFailed(Endpoint peer, Sink &sink)
 {
     // The peer's next hello starts another try.
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -78,6 +78,8 @@
     std::optional<Endpoint> takeFetch();
     void onFetched(Endpoint peer, std::span<const std::uint8_t> state, TimePoint now, Sink &sink);
     void onFetchFailed(Endpoint peer, Sink &sink);
+    // What peers fetch: the state and the agents that may hold flows.
+    std::vector<std::uint8_t> encodeState() const;
     const FleetState &state() const { return this->fleet; }
 
     // Mesh endpoints found in the directory.
@@ -107,9 +109,9 @@
     // Agents and peers answer a new balancer within a second; before that its view is partial.
     static constexpr std::chrono::milliseconds settleTime{ 1200 };
     // A flow is called lost only by a balancer that must have heard of every agent.
-    // That takes one report for the agents to learn of the balancer, one to reach it, and one that
-    // may be lost.
-    static constexpr std::chrono::milliseconds certainTime{ 1500 };
+    // Peers name the agents they know when a new balancer fetches their state; where all balancers
+    // are new, agents report every 100 ms until they hear one.
+    static constexpr std::chrono::milliseconds certainTime{ 800 };
     // The first agent that a new balancer hears must not get every flow. Callers repeat their
     // opening packets 200 and 600 ms after the first.
     static constexpr std::chrono::milliseconds firstPlacementDelay{ 300 };
@@ -144,6 +146,8 @@
                Sink &sink);
     void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
     bool mayHold(const FlowKey &key, AgentIndex agent) const;
+    // An agent that may hold the flow and does not answer.
+    bool hasSilentHolder(const FlowKey &key, TimePoint now) const;
     void forward(const Segment &segment, AgentIndex agent, std::uint8_t flags, Sink &sink);
     void reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink);
     void onReply(const ReplyFrame &reply, TimePoint now, Sink &sink);
--- a/mesh/flows_test.cpp
+++ b/mesh/flows_test.cpp
@@ -98,8 +98,10 @@
     BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
     this->world.restartServer("a1", "another");
     this->world.run(100ms);
-    BOOST_TEST(!this->world.request("b1", callerOf(1), booking));
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+    // A caller whose reset was lost is told again.
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(tellsACallerWhoseServerHasExited)
@@ -110,8 +112,9 @@
                              *node.sink);
     node.server.isUp = false;
     this->world.run(1s);
-    this->world.request("b1", callerOf(1), booking);
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+    this->world.request("b1", callerOf(1), booking);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(doesNotResetWhileAnAgentIsSilent)
@@ -278,6 +281,33 @@
     BOOST_TEST(this->world.agent("a1").server.openings.size() < 20u);
 }
 
+// Callers with idle flows hear of the end before their next request.
+BOOST_AUTO_TEST_CASE(tellsIdleCallersThatTheirServerHasGone)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.openFlow("b1", callerOf(2), booking) == "a1");
+    World::AgentNode &node = this->world.agent("a1");
+    node.agent->onDeregister(node.server.instance, node.server.startedAt, this->world.now,
+                             *node.sink);
+    this->world.run(400ms);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    this->world.run(200ms);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+    BOOST_TEST(this->world.resetsTo(callerOf(2)) == 1u);
+}
+
+// A new balancer learns from its peers of agents that it can't hear, and then calls nothing lost.
+BOOST_AUTO_TEST_CASE(aNewBalancerKnowsOfAgentsThroughItsPeers)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.cut("a1", "b2");
+    this->world.restartBalancer("b2");
+    this->world.run(2s);
+    BOOST_TEST(!this->world.request("b2", callerOf(1), booking, 1s));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 // One agent that has vanished must not keep the flows of the others from being found, and nothing
 // is called lost meanwhile.
 BOOST_AUTO_TEST_CASE(findsFlowsWhileAnAgentIsMissing)
--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -302,7 +302,7 @@
     if (this->cuts.contains(pairOf(name, peer)) || !this->balancers.at(peer)->isUp)
         node.balancer->onFetchFailed(*from, *node.sink);
     else
-        node.balancer->onFetched(*from, this->balancers.at(peer)->balancer->state().encode(),
+        node.balancer->onFetched(*from, this->balancers.at(peer)->balancer->encodeState(),
                                  this->now, *node.sink);
 }
 
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -14,29 +14,12 @@
 
 json toBytes(const std::vector<Endpoint> &endpoints)
 {
-    json::binary_t bytes;
-    bytes.reserve(endpoints.size() * endpointBytes);
-    for (const Endpoint &endpoint : endpoints) {
-        for (int shift = 24; shift >= 0; shift -= 8)
-            bytes.push_back(std::uint8_t(endpoint.address >> shift));
-        bytes.push_back(std::uint8_t(endpoint.port >> 8));
-        bytes.push_back(std::uint8_t(endpoint.port));
-    }
-    return json::binary(std::move(bytes));
+    return json::binary(encodeEndpoints(endpoints));
 }
 
 std::vector<Endpoint> endpointsFrom(const json &value)
 {
-    const json::binary_t &bytes = value.get_binary();
-    std::vector<Endpoint> endpoints;
-    for (std::size_t i = 0; i + endpointBytes <= bytes.size(); i += endpointBytes) {
-        Endpoint endpoint;
-        for (std::size_t j = 0; j < 4; ++j)
-            endpoint.address = (endpoint.address << 8) | bytes[i + j];
-        endpoint.port = std::uint16_t((bytes[i + 4] << 8) | bytes[i + 5]);
-        endpoints.push_back(endpoint);
-    }
-    return endpoints;
+    return decodeEndpoints(value.get_binary());
 }
 
 // Positional arrays keep a message in one small datagram; the index is that of the variant.
@@ -126,6 +109,32 @@
 
 } // namespace
 
+std::vector<std::uint8_t> encodeEndpoints(const std::vector<Endpoint> &endpoints)
+{
+    std::vector<std::uint8_t> bytes;
+    bytes.reserve(endpoints.size() * endpointBytes);
+    for (const Endpoint &endpoint : endpoints) {
+        for (int shift = 24; shift >= 0; shift -= 8)
+            bytes.push_back(std::uint8_t(endpoint.address >> shift));
+        bytes.push_back(std::uint8_t(endpoint.port >> 8));
+        bytes.push_back(std::uint8_t(endpoint.port));
+    }
+    return bytes;
+}
+
+std::vector<Endpoint> decodeEndpoints(std::span<const std::uint8_t> bytes)
+{
+    std::vector<Endpoint> endpoints;
+    for (std::size_t i = 0; i + endpointBytes <= bytes.size(); i += endpointBytes) {
+        Endpoint endpoint;
+        for (std::size_t j = 0; j < 4; ++j)
+            endpoint.address = (endpoint.address << 8) | bytes[i + j];
+        endpoint.port = std::uint16_t((bytes[i + 4] << 8) | bytes[i + 5]);
+        endpoints.push_back(endpoint);
+    }
+    return endpoints;
+}
+
 bool isPeerMessage(std::span<const std::uint8_t> datagram)
 {
     return !datagram.empty() && datagram.front() == peerMessageMark;
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -71,6 +71,10 @@
 
 using PeerMessage = std::variant<BalancerHello, AgentReport, BalancerNotice>;
 
+// Endpoints as six bytes each.
+std::vector<std::uint8_t> encodeEndpoints(const std::vector<Endpoint> &endpoints);
+std::vector<Endpoint> decodeEndpoints(std::span<const std::uint8_t> bytes);
+
 bool isPeerMessage(std::span<const std::uint8_t> datagram);
 std::vector<std::uint8_t> encode(const PeerMessage &message);
 // Nothing for a message that is malformed or of another version.
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -59,6 +59,15 @@
     this->serverLoad.reset(now);
 }
 
+void ServerFlows::forEachOpen(
+        const std::function<void(const FlowKey &, const ServerFlow &)> &visit) const
+{
+    for (const auto &[key, flow] : this->flows) {
+        if (flow.isOpen && !flow.hasEnded && !flow.isServerFinished && !flow.isCallerFinished)
+            visit(key, flow);
+    }
+}
+
 void ServerFlows::end(ServerFlow &flow, TimePoint now)
 {
     this->abandonRequest(flow, now);
@@ -83,6 +92,7 @@
         this->end(flow, now);
         return;
     }
+    flow.callerAcknowledgement = segment.acknowledgement;
     const std::uint32_t dataEnd = segment.sequence + segment.payloadLength;
     const bool isNew = segment.payloadLength > 0
                        && (!flow.hasCallerData || isBefore(flow.callerNext, dataEnd));
@@ -112,6 +122,8 @@
         flow.serverSequence = segment.sequence;
         flow.remaining.clear();
     }
+    if (flow.callerAcknowledgement == 0)
+        flow.callerAcknowledgement = segment.sequence;
     if (segment.payloadLength > 0) {
         this->serverLoad.onResponseBytes(segment.payloadLength);
         if (flow.isInProgress) {
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -2,6 +2,7 @@
 #define CACTUSDECK_MESH_SERVERFLOWS_H
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,8 @@
     std::optional<std::uint32_t> openingSequence; // unknown for an adopted flow
     std::uint32_t serverSequence = 0; // initial one
     std::uint32_t callerNext = 0; // end of the highest data seen
+    // The caller's last acknowledgement, or where its server is in the sequence.
+    std::uint32_t callerAcknowledgement = 0;
     std::uint32_t inProgressBefore = 0; // requests of the server when this one arrived
     TimePoint requestedAt;
     TimePoint lastActive;
@@ -54,6 +57,8 @@
     ServerFlow &adopt(const FlowKey &key, TimePoint now);
     void erase(const FlowKey &key, TimePoint now);
     void clear(TimePoint now);
+    // Visits the flows that a caller may still use.
+    void forEachOpen(const std::function<void(const FlowKey &, const ServerFlow &)> &visit) const;
 
     void onCaller(ServerFlow &flow, const Segment &segment, TimePoint now);
     void onServer(ServerFlow &flow, const Segment &segment, std::uint32_t slots, TimePoint now);
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -184,7 +184,7 @@
             return { .body = metricsText(this->balancer, this->shell.logWriter(), now),
                      .contentType = "text/plain" };
         if (request.target == stateTarget) {
-            const std::vector<std::uint8_t> state = this->balancer.state().encode();
+            const std::vector<std::uint8_t> state = this->balancer.encodeState();
             return { .body = std::string(state.begin(), state.end()),
                      .contentType = "application/cbor" };
         }
