Ask only the agents whose reports don't rule a flow out

Change: reports name the buckets in which a server has flows, and whether the agent has seen all of its flows. Above 600 questions a second a balancer asks only agents that are not ruled out; a flow is called lost when a later report of every other agent rules it out again.

Ruled out: batches of questions (an agent would still answer for flows of all others); a shorter wait for answers.

Tests: flowSearch in mesh_test; asksFewAgentsForManyFlows failed before.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -511,6 +511,8 @@
         .serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(load.serviceTime()),
         .responseBytes = load.responseBytes(),
         .interval = this->interval(),
+        .holdings = this->flows.holdings(),
+        .knowsAllFlows = this->record.beganAfterAgent(),
     };
     const std::vector<std::uint8_t> bytes = encode(report);
     for (const Endpoint &balancer : this->balancers.all())
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -100,9 +100,9 @@
     static constexpr std::chrono::milliseconds searchInterval{ 100 };
     // Changes are told at once, but not more often than this.
     static constexpr std::chrono::milliseconds reportGap{ 50 };
-    // Bytes a second for reports to all balancers; over half of the control budget of 7 KB/s.
-    static constexpr double reportBytesPerSecond = 4000;
-    static constexpr double reportBytes = 130;
+    // Bytes a second for reports to all balancers; most of the control budget of 7 KB/s.
+    static constexpr double reportBytesPerSecond = 5000;
+    static constexpr double reportBytes = 200;
     static constexpr std::chrono::seconds expiryInterval{ 1 };
     // A stopping agent waits this long for balancers to stop placing flows, and in all no longer
     // than half of the time that the platform grants.
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -202,86 +202,107 @@
         search->hold(segment.bytes);
         return;
     }
-    const std::vector<AgentIndex> holders = this->directory.holders();
-    // Silent agents are asked too, but not waited for; while there are any, no flow is called lost.
-    std::vector<AgentIndex> responding;
-    for (const AgentIndex agent : holders) {
-        if (this->directory.isResponding(this->directory.at(agent), now))
-            responding.push_back(agent);
+    std::vector<AgentIndex> silent;
+    const SearchPlan plan = this->planSearch(segment.key, silent, now);
+    if (plan.asked.empty() && plan.unconfirmed.empty() && silent.empty()) {
+        ++this->counts.dropped;
+        sink.log(Level::Warning, "packet_dropped",
+                 { { "flow", toString(segment.key) }, { "reason", "no_agent_known" } });
+        return;
     }
-    FlowSearch *search = this->searches.begin(segment.key, responding, now);
-    if (search == nullptr || holders.empty()) {
-        this->searches.erase(flowHash);
+    FlowSearch *search = this->searches.begin(segment.key, plan, now);
+    if (search == nullptr) {
         ++this->counts.dropped;
         sink.log(Level::Warning, "packet_dropped",
-                 { { "flow", toString(segment.key) },
-                   { "reason", holders.empty() ? "no_agent_known" : "too_many_searches" } });
+                 { { "flow", toString(segment.key) }, { "reason", "too_many_searches" } });
         return;
     }
     ++this->counts.searches;
     search->hold(segment.bytes);
-    ForwardFrame frame{ .flags = frameflag::locate, .replyTo = this->options.mesh, .hopCount = 1 };
-    FrameBuffer buffer;
-    const std::span<const std::uint8_t> head = this->options.codec->head(segment);
+    for (const AgentIndex agent : plan.asked)
+        this->ask(agent, segment, sink);
+    // Silent agents are not waited for.
+    for (const AgentIndex agent : silent)
+        this->ask(agent, segment, sink);
+}
+
+SearchPlan Balancer::planSearch(const FlowKey &key, std::vector<AgentIndex> &silent, TimePoint now)
+{
+    std::vector<AgentIndex> holders = this->directory.holders();
+    std::erase_if(holders, [&](AgentIndex agent) {
+        return !this->directory.at(agent).report.service.value.empty()
+               && !this->mayHold(key, agent);
+    });
+    const Bucket bucket = bucketOf(hashOf(key));
+    const bool isAskingAll = this->questions.take(double(holders.size()), now);
+    SearchPlan plan;
     for (const AgentIndex agent : holders) {
-        frame.hops[0].agent = this->directory.at(agent).endpoint;
-        sink.toNode(frame.hops[0].agent, encodeForward(frame, buffer), head);
+        const AgentDirectory::Agent &entry = this->directory.at(agent);
+        const bool isRuledOut = entry.report.knowsAllFlows && !entry.report.holdings.test(bucket);
+        if (!this->directory.isResponding(entry, now)) {
+            plan.isComplete = false;
+            if (isAskingAll || !isRuledOut)
+                silent.push_back(agent);
+        } else if (isRuledOut && !isAskingAll) {
+            plan.unconfirmed.push_back(agent);
+        } else {
+            plan.asked.push_back(agent);
+        }
     }
+    return plan;
 }
 
-bool Balancer::mayHold(const FlowKey &key, AgentIndex agent) const
+void Balancer::ask(AgentIndex agent, const Segment &segment, Sink &sink)
 {
-    return this->fleet.mayServe(key.destination, this->directory.at(agent).report.service);
+    ++this->counts.questions;
+    ForwardFrame frame{ .flags = frameflag::locate, .replyTo = this->options.mesh, .hopCount = 1 };
+    frame.hops[0].agent = this->directory.at(agent).endpoint;
+    FrameBuffer buffer;
+    sink.toNode(frame.hops[0].agent, encodeForward(frame, buffer),
+                this->options.codec->head(segment));
 }
 
-bool Balancer::hasSilentHolder(const FlowKey &key, TimePoint now) const
+bool Balancer::mayHold(const FlowKey &key, AgentIndex agent) const
 {
-    const std::vector<AgentIndex> holders = this->directory.holders();
-    return std::any_of(holders.begin(), holders.end(), [&](AgentIndex index) {
-        const AgentDirectory::Agent &agent = this->directory.at(index);
-        const bool isUnknown = agent.report.service.value.empty();
-        return !this->directory.isResponding(agent, now)
-               && (isUnknown || this->mayHold(key, index));
-    });
+    return this->fleet.mayServe(key.destination, this->directory.at(agent).report.service);
 }
 
 void Balancer::onSearchAnswer(std::uint64_t flowHash, AgentIndex agent, SearchAnswer answer,
                               TimePoint now, Sink &sink)
+{
+    if (FlowSearch *search = this->searches.find(flowHash))
+        this->follow(flowHash, search->onAnswer(agent, answer, now), now, sink);
+}
+
+void Balancer::follow(std::uint64_t flowHash, SearchStage stage, TimePoint now, Sink &sink)
 {
     FlowSearch *search = this->searches.find(flowHash);
-    if (search == nullptr)
-        return;
-    const SearchStage before = search->stage();
-    const SearchStage stage = search->onAnswer(agent, answer);
-    if (stage == SearchStage::Exhausted)
+    if (stage == SearchStage::MustProbe) {
+        this->probe(flowHash, *search, now, sink);
+    } else if (stage == SearchStage::Exhausted) {
         this->finishSearch(flowHash, now, sink);
-    else if (stage == SearchStage::Probing && before == SearchStage::Asking)
-        this->probe(flowHash, *search, true, now, sink);
+    } else if (stage == SearchStage::Unresolved) {
+        ++this->counts.searchesExpired;
+        sink.log(Level::Info, "search_unresolved", { { "flow", toString(search->key()) } });
+        this->searches.erase(flowHash);
+    }
 }
 
 void Balancer::onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink)
 {
     FlowSearch *search = this->searches.find(flowHash);
     const std::vector<AgentIndex> &missing = search->missing();
-    const bool mayGoOn = search->stage() == SearchStage::Asking && !search->unsure().empty();
-    sink.log(Level::Info, mayGoOn ? "search_unanswered" : "search_expired",
+    sink.log(Level::Info, "search_unanswered",
              { { "flow", toString(search->key()) },
-               { "stage", search->stage() == SearchStage::Asking ? "asking" : "probing" },
+               { "stage", std::to_string(int(search->stage())) },
                { "missing", std::to_string(missing.size()) },
                { "first_missing",
                  missing.empty() ? "none"
                                  : this->directory.at(missing.front()).report.name.value } });
-    if (mayGoOn) {
-        search->endAsking();
-        this->probe(flowHash, *search, false, now, sink);
-        return;
-    }
-    ++this->counts.searchesExpired;
-    this->searches.erase(flowHash);
+    this->follow(flowHash, search->onDue(now), now, sink);
 }
 
-void Balancer::probe(std::uint64_t flowHash, FlowSearch &search, bool isComplete, TimePoint now,
-                     Sink &sink)
+void Balancer::probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink)
 {
     const std::vector<std::uint8_t> packet = search.packets().front();
     const std::optional<Segment> segment = this->options.codec->parse(packet);
@@ -292,13 +313,10 @@
         if (this->mayHold(segment->key, agent))
             agents.push_back(agent);
     }
-    search.probe(agents, isComplete && agents.size() == search.unsure().size(), now);
-    if (agents.empty()) {
-        this->searches.erase(flowHash);
-        return;
-    }
     for (const AgentIndex agent : agents)
         this->forward(*segment, agent, frameflag::probe, sink);
+    search.probe(std::move(agents), now);
+    this->follow(flowHash, search.stage(), now, sink);
 }
 
 // Nobody holds the flow. The caller is told if this balancer knows every agent, since its wait for
@@ -312,8 +330,7 @@
     const std::optional<Segment> segment = this->options.codec->parse(packet);
     if (!segment)
         return;
-    const bool isCertain =
-            now - this->startedAt >= certainTime && !this->hasSilentHolder(segment->key, now);
+    const bool isCertain = now - this->startedAt >= certainTime;
     // The sender of a mere acknowledgement doesn't wait for anything.
     if (isCertain && (segment->payloadLength > 0 || segment->has(tcpflag::fin))) {
         this->reset(*segment, "flow_unknown", this->counts.resetEnded, sink);
@@ -457,8 +474,19 @@
                    { "zone", report.zone.value },
                    { "phase", std::to_string(int(report.phase)) },
                    { "cold", report.isCold ? "yes" : "no" } });
-    if (const auto agent = this->directory.find(from))
-        this->notify(*agent, now, sink);
+    const std::optional<AgentIndex> agent = this->directory.find(from);
+    if (!agent)
+        return;
+    this->notify(*agent, now, sink);
+    for (const std::uint64_t flowHash : this->searches.all()) {
+        FlowSearch *search = this->searches.find(flowHash);
+        const bool mayHold = !report.knowsAllFlows || report.holdings.test(bucketOf(flowHash));
+        if (search->onReport(*agent, mayHold, now)) {
+            if (const auto segment = this->options.codec->parse(search->packets().front()))
+                this->ask(*agent, *segment, sink);
+        }
+        this->follow(flowHash, search->stage(), now, sink);
+    }
 }
 
 void Balancer::notify(AgentIndex index, TimePoint now, Sink &sink)
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -9,6 +9,7 @@
 
 #include "core/flowcache.h"
 #include "core/frame.h"
+#include "core/tokenbucket.h"
 #include "mesh/agentdirectory.h"
 #include "mesh/flowsearch.h"
 #include "mesh/peerset.h"
@@ -53,6 +54,7 @@
     std::uint64_t placedInZone = 0; // of these, to one of the own failure domain
     std::uint64_t forwarded = 0; // to the remembered agent of their flow
     std::uint64_t searches = 0; // flows
+    std::uint64_t questions = 0; // to agents, about flows
     std::uint64_t searchesFound = 0; // flows
     std::uint64_t searchesExpired = 0; // flows
     std::uint64_t resetNoRoute = 0;
@@ -122,6 +124,10 @@
     static constexpr std::chrono::milliseconds firstStateDelay{ 60 };
     // A store that could not be reached is tried again by a low-ranked reader after this time.
     static constexpr std::chrono::milliseconds storeRetryTime{ 4000 };
+    // Questions about flows: as long as they are few, every agent is asked, which is faster than to
+    // wait for reports. A machine with a tenth of a core spends a tenth of it on these.
+    static constexpr double questionsPerSecond = 600;
+    static constexpr double questionsAtOnce = 1200;
     static constexpr std::size_t placementHops = 4;
     // The second copy of an opening packet means that its first agent may be gone.
     static constexpr std::uint32_t copyOfDoubt = 2;
@@ -142,12 +148,14 @@
     void onSearchAnswer(std::uint64_t flowHash, AgentIndex agent, SearchAnswer answer,
                         TimePoint now, Sink &sink);
     void onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink);
-    void probe(std::uint64_t flowHash, FlowSearch &search, bool isComplete, TimePoint now,
-               Sink &sink);
+    void probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink);
     void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    // Whom to ask for a flow, and who is ruled out by reports.
+    SearchPlan planSearch(const FlowKey &key, std::vector<AgentIndex> &silent, TimePoint now);
+    void ask(AgentIndex agent, const Segment &segment, Sink &sink);
+    // Does what the stage of a search asks for.
+    void follow(std::uint64_t flowHash, SearchStage stage, TimePoint now, Sink &sink);
     bool mayHold(const FlowKey &key, AgentIndex agent) const;
-    // An agent that may hold the flow and does not answer.
-    bool hasSilentHolder(const FlowKey &key, TimePoint now) const;
     void forward(const Segment &segment, AgentIndex agent, std::uint8_t flags, Sink &sink);
     void reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink);
     void onReply(const ReplyFrame &reply, TimePoint now, Sink &sink);
@@ -168,6 +176,7 @@
     std::map<Endpoint, PeerState> peerStates;
     FlowCache cache;
     FlowSearches searches;
+    TokenBucket questions{ questionsPerSecond, questionsAtOnce };
     StateReader storeReader;
     BalancerCounters counts;
     std::optional<Endpoint> fetchFrom;
--- a/mesh/flowsearch.cpp
+++ b/mesh/flowsearch.cpp
@@ -4,11 +4,13 @@
 
 namespace cactusdeck::mesh {
 
-FlowSearch::FlowSearch(const FlowKey &searched, std::vector<AgentIndex> asked, TimePoint begun)
+FlowSearch::FlowSearch(const FlowKey &searched, SearchPlan searchPlan, TimePoint begun)
     : flow(searched)
-    , waiting(std::move(asked))
+    , plan(std::move(searchPlan))
     , until(begun + askTime)
-{ }
+{
+    this->advance(begun);
+}
 
 void FlowSearch::hold(std::span<const std::uint8_t> packet)
 {
@@ -16,32 +18,69 @@
         this->held.emplace_back(packet.begin(), packet.end());
 }
 
-SearchStage FlowSearch::onAnswer(AgentIndex agent, SearchAnswer answer)
+SearchStage FlowSearch::advance(TimePoint now)
 {
-    const auto it = std::find(this->waiting.begin(), this->waiting.end(), agent);
-    if (it == this->waiting.end())
+    if (!this->plan.asked.empty())
+        return this->currentStage;
+    if (this->currentStage == SearchStage::Asking && !this->unsureAgents.empty())
+        return this->currentStage = SearchStage::MustProbe;
+    if (!this->plan.unconfirmed.empty()) {
+        if (this->currentStage != SearchStage::Confirming)
+            this->until = now + confirmTime;
+        return this->currentStage = SearchStage::Confirming;
+    }
+    this->currentStage = this->plan.isComplete ? SearchStage::Exhausted : SearchStage::Unresolved;
+    return this->currentStage;
+}
+
+SearchStage FlowSearch::onAnswer(AgentIndex agent, SearchAnswer answer, TimePoint now)
+{
+    const auto it = std::find(this->plan.asked.begin(), this->plan.asked.end(), agent);
+    if (it == this->plan.asked.end())
         return this->currentStage;
     if (answer == SearchAnswer::Unsure) {
-        // In the second stage an agent that is still unsure has not heard from its server.
+        // While its server has the packet, the agent's doubt is no news.
         if (this->currentStage == SearchStage::Probing)
             return this->currentStage;
         this->unsureAgents.push_back(agent);
     }
-    this->waiting.erase(it);
-    if (this->waiting.empty()) {
-        if (this->currentStage == SearchStage::Asking && !this->unsureAgents.empty())
-            this->currentStage = SearchStage::Probing;
-        else if (this->isProbeComplete)
-            this->currentStage = SearchStage::Exhausted;
+    this->plan.asked.erase(it);
+    return this->advance(now);
+}
+
+bool FlowSearch::onReport(AgentIndex agent, bool mayHold, TimePoint now)
+{
+    const std::size_t erased = std::erase(this->plan.unconfirmed, agent);
+    if (erased == 0 || !mayHold) {
+        if (this->currentStage == SearchStage::Confirming)
+            this->advance(now);
+        return false;
+    }
+    this->plan.asked.push_back(agent);
+    if (this->currentStage == SearchStage::Confirming) {
+        this->currentStage = SearchStage::Asking;
+        this->until = now + askTime;
     }
-    return this->currentStage;
+    return true;
 }
 
-void FlowSearch::probe(std::vector<AgentIndex> agents, bool isComplete, TimePoint now)
+void FlowSearch::probe(std::vector<AgentIndex> agents, TimePoint now)
 {
-    this->waiting = std::move(agents);
-    this->isProbeComplete = isComplete;
+    this->plan.isComplete &= agents.size() == this->unsureAgents.size();
+    this->plan.asked = std::move(agents);
+    this->unsureAgents.clear();
+    this->currentStage = SearchStage::Probing;
     this->until = now + probeTime;
+    this->advance(now);
+}
+
+SearchStage FlowSearch::onDue(TimePoint now)
+{
+    // Whoever is silent may hold the flow; the search can still find it, but not call it lost.
+    this->plan.isComplete = false;
+    this->plan.asked.clear();
+    this->plan.unconfirmed.clear();
+    return this->advance(now);
 }
 
 FlowSearch *FlowSearches::find(std::uint64_t flowHash)
@@ -50,11 +89,11 @@
     return it == this->searches.end() ? nullptr : &it->second;
 }
 
-FlowSearch *FlowSearches::begin(const FlowKey &flow, std::vector<AgentIndex> agents, TimePoint now)
+FlowSearch *FlowSearches::begin(const FlowKey &flow, SearchPlan plan, TimePoint now)
 {
     if (this->searches.size() >= capacity)
         return nullptr;
-    return &this->searches.insert_or_assign(hashOf(flow), FlowSearch(flow, std::move(agents), now))
+    return &this->searches.insert_or_assign(hashOf(flow), FlowSearch(flow, std::move(plan), now))
                     .first->second;
 }
 
@@ -68,6 +107,15 @@
     return hashes;
 }
 
+std::vector<std::uint64_t> FlowSearches::all() const
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(this->searches.size());
+    for (const auto &[hash, search] : this->searches)
+        hashes.push_back(hash);
+    return hashes;
+}
+
 TimePoint FlowSearches::nextDeadline() const
 {
     TimePoint next = TimePoint::max();
--- /dev/null
+++ b/mesh/flowsearch_test.cpp
@@ -0,0 +1,96 @@
+#include <boost/test/unit_test.hpp>
+
+#include "mesh/meshworld_test.h"
+
+using namespace cactusdeck;
+using namespace cactusdeck::mesh;
+using namespace cactusdeck::mesh::test;
+
+// The pattern: many flows move at once, so that asking every agent for every flow would take all of
+// a small machine.
+
+namespace {
+
+const Endpoint booking{ 0xC6120001u, 443 };
+constexpr int agents = 30;
+
+struct Fixture
+{
+    Fixture()
+    {
+        this->world.addBalancer("b1", "zone-a");
+        this->world.addBalancer("b2", "zone-a");
+        for (int i = 0; i < agents; ++i)
+            this->world.addAgent("a" + std::to_string(i), "zone-a", "booking");
+        this->world.publish(configurationOf({ { booking, "booking" } }));
+        this->world.run(3s);
+    }
+
+    // Uses up what a balancer may ask at once, with packets of flows that nobody has.
+    void askMuch(const std::string &balancer)
+    {
+        for (std::uint16_t i = 0; i < 200; ++i)
+            this->world.fromCaller(balancer, { .source = callerOf(std::uint16_t(40000 + i)),
+                                               .destination = booking,
+                                               .length = 10,
+                                               .flags = tcpflag::ack });
+        this->world.run(5ms);
+    }
+
+    std::uint64_t questions(const std::string &balancer)
+    {
+        return this->world.balancer(balancer).balancer->counters().questions;
+    }
+
+    World world;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(flowSearch, Fixture)
+
+BOOST_AUTO_TEST_CASE(asksFewAgentsForManyFlows)
+{
+    for (std::uint16_t i = 0; i < 300; ++i)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(i), booking).empty());
+    this->world.run(2s);
+    this->askMuch("b2");
+    const std::uint64_t before = this->questions("b2");
+    for (std::uint16_t i = 0; i < 300; ++i)
+        BOOST_TEST(this->world.request("b2", callerOf(i), booking, 3ms));
+    // Thirty agents for each of 300 flows would be 9,000.
+    BOOST_TEST(this->questions("b2") - before < 1500u);
+}
+
+BOOST_AUTO_TEST_CASE(findsAFlowThatIsNewerThanTheReports)
+{
+    this->askMuch("b2");
+    BOOST_TEST(!this->world.openFlow("b1", callerOf(1), booking).empty());
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking, 1s));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(tellsCallersOfLostFlowsAfterTheNextReports)
+{
+    this->askMuch("b2");
+    const Endpoint caller = callerOf(std::uint16_t(40199));
+    BOOST_TEST(this->world.resetsTo(caller) == 0u);
+    this->world.run(1s);
+    BOOST_TEST(this->world.resetsTo(caller) == 1u);
+    for (int i = 0; i < agents; ++i)
+        BOOST_TEST(this->world.agent("a" + std::to_string(i)).server.foreignPackets == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(searchesDontLiveForEver)
+{
+    for (int i = 0; i < agents; ++i)
+        this->world.agent("a" + std::to_string(i)).isUp = false;
+    this->world.fromCaller(
+            "b1",
+            { .source = callerOf(1), .destination = booking, .length = 10, .flags = tcpflag::ack });
+    this->world.run(500ms);
+    BOOST_TEST(this->world.balancer("b1").balancer->counters().searchesExpired == 1u);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -22,6 +22,41 @@
     return decodeEndpoints(value.get_binary());
 }
 
+using Holdings = std::bitset<bucketCount>;
+
+constexpr std::size_t bitmapBytes = bucketCount / 8;
+
+// Two bytes a bucket while that is shorter than a bitmap.
+std::vector<std::uint8_t> encodeHoldings(const Holdings &holdings)
+{
+    std::vector<std::uint8_t> bytes;
+    const bool isSparse = holdings.count() * 2 < bitmapBytes;
+    if (!isSparse)
+        bytes.resize(bitmapBytes);
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        if (!holdings.test(bucket))
+            continue;
+        if (isSparse)
+            bytes.insert(bytes.end(), { std::uint8_t(bucket >> 8), std::uint8_t(bucket) });
+        else
+            bytes[bucket / 8] = std::uint8_t(bytes[bucket / 8] | (1u << (bucket % 8)));
+    }
+    return bytes;
+}
+
+Holdings holdingsFrom(std::span<const std::uint8_t> bytes)
+{
+    Holdings holdings;
+    if (bytes.size() == bitmapBytes) {
+        for (std::size_t bucket = 0; bucket < bucketCount; ++bucket)
+            holdings.set(bucket, (bytes[bucket / 8] >> (bucket % 8) & 1) != 0);
+        return holdings;
+    }
+    for (std::size_t i = 0; i + 1 < bytes.size(); i += 2)
+        holdings.set(std::size_t((bytes[i] << 8) | bytes[i + 1]) % bucketCount);
+    return holdings;
+}
+
 // Positional arrays keep a message in one small datagram; the index is that of the variant.
 json toJson(const BalancerHello &hello)
 {
@@ -51,7 +86,9 @@
              report.requestsPerSecond,
              report.serviceTime.count(),
              report.responseBytes,
-             report.interval.count() };
+             report.interval.count(),
+             json::binary(encodeHoldings(report.holdings)),
+             report.knowsAllFlows };
 }
 
 json toJson(const BalancerNotice &notice)
@@ -94,7 +131,9 @@
              .requestsPerSecond = value.at(10),
              .serviceTime = std::chrono::microseconds(value.at(11).get<std::int64_t>()),
              .responseBytes = value.at(12),
-             .interval = std::chrono::milliseconds(value.at(13).get<std::int64_t>()) };
+             .interval = std::chrono::milliseconds(value.at(13).get<std::int64_t>()),
+             .holdings = holdingsFrom(value.at(14).get_binary()),
+             .knowsAllFlows = value.at(15) };
 }
 
 BalancerNotice noticeFrom(const json &value)
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSDECK_MESH_PEERMESSAGE_H
 #define CACTUSDECK_MESH_PEERMESSAGE_H
 
+#include <bitset>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -56,6 +57,10 @@
     std::chrono::microseconds serviceTime{ 0 }; // without queueing; 0: not measured yet
     double responseBytes = 0; // mean of one response
     std::chrono::milliseconds interval{ 0 }; // until the next report, at most
+    // The buckets in which the server has flows, so that balancers need not ask for others.
+    std::bitset<bucketCount> holdings;
+    // False if the server may have flows that the agent hasn't seen since its start.
+    bool knowsAllFlows = false;
 };
 
 // Balancer to agent, in answer to a report and when the state has changed.
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -148,6 +148,14 @@
         this->end(flow, now);
 }
 
+std::bitset<bucketCount> ServerFlows::holdings() const
+{
+    std::bitset<bucketCount> result;
+    for (const auto &[key, flow] : this->flows)
+        result.set(bucketOf(hashOf(key)));
+    return result;
+}
+
 void ServerFlows::expire(std::chrono::milliseconds idleTimeout, TimePoint now)
 {
     for (auto it = this->flows.begin(); it != this->flows.end();) {
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSDECK_MESH_SERVERFLOWS_H
 #define CACTUSDECK_MESH_SERVERFLOWS_H
 
+#include <bitset>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -66,6 +67,8 @@
     // Forgets flows that are idle for longer than the timeout, or have ended a while ago.
     void expire(std::chrono::milliseconds idleTimeout, TimePoint now);
 
+    // The buckets with flows, ended ones included while their last packets may come.
+    std::bitset<bucketCount> holdings() const;
     // Without those that have ended.
     std::size_t openCount() const { return this->live; }
     // Flows that have not brought their first request yet, while it can still come at any moment.
