--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,6 +4,7 @@
 source "$(dirname "$0")/common.sh"
 installPackages
 tools/format.sh --check
+tools/wirenames.sh
 buildPreset release
 tools/lint.sh
 buildPreset debug
