--- a/core/agent.h
+++ b/core/agent.h
@@ -72,7 +72,7 @@
     bool isStopped(TimePoint now) const;
 
     ConfigurationVersion configurationVersion() const;
-    // Flows, limits, admission state, holdings, counters; documented in docs/operations.md.
+    // Flows, limits, admission state, holdings, counters; documented in docs/OPERATIONS.md.
     nlohmann::json status(TimePoint now) const;
 
 private:
--- a/core/balancer.h
+++ b/core/balancer.h
@@ -65,7 +65,7 @@
 
     // Configuration version in force on this node.
     ConfigurationVersion configurationVersion() const;
-    // Services, members, zones, versions of all nodes, counters; documented in docs/operations.md.
+    // Services, members, zones, versions of all nodes, counters; documented in docs/OPERATIONS.md.
     nlohmann::json status(TimePoint now) const;
     // The chain that a packet of the flow would take now, and the reason for each hop.
     nlohmann::json explain(const FlowKey &key, TimePoint now) const;
--- a/core/balancerstatus.cpp
+++ b/core/balancerstatus.cpp
@@ -1,7 +1,7 @@
 #include "core/balancer.h"
 #include "core/balancerparts.h"
 
-// What a balancer tells operators. The names are part of the interface; docs/operations.md explains
+// What a balancer tells operators. The names are part of the interface; docs/OPERATIONS.md explains
 // them.
 
 namespace cactusdeck {
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -67,7 +67,7 @@
 
     // An empty watch ends after this time; a silent one is found a little later. Short enough that
     // a deaf watch delays a change by less than the time in which the change must be in force.
-    static constexpr std::chrono::milliseconds watchTime{ 8000 };
+    static constexpr std::chrono::milliseconds watchTime{ 12000 };
 
     StateReader(ConfigurationDecoder configurationDecoder, std::uint64_t seed);
 
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::milliseconds watchMargin{ 1500 };
 constexpr std::chrono::milliseconds fetchTimeout{ 1000 };
 // The directory serves nodes that start later, so writing the entry may wait.
-constexpr std::chrono::milliseconds registrationDelay{ 2000 };
+constexpr std::chrono::milliseconds registrationDelay{ 8000 };
 constexpr std::chrono::milliseconds registrationRetry{ 5000 };
 constexpr std::chrono::milliseconds registrationTimeout{ 2000 };
 
