Keep the packets that reach a new balancer before its state

Change: such packets are kept, at most 512 and 1 s, and handled when the state is there; new flows are placed once every agent that a peer named has reported, after 250 ms at the latest. Readers tell all agents of a new balancer at once.

Ruled out: no delay at all (the first agent heard would get every flow).

Tests: aNewBalancerKeepsItsFirstPackets failed before the change; spreadsTheFlowsOfItsFirstMoments now wants each flow placed without a repeat.

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -51,6 +51,12 @@
 {
     ++this->counts.packets;
     this->lastPacket = now;
+    this->handlePacket(packet, now, now, sink);
+}
+
+void Balancer::handlePacket(std::span<const std::uint8_t> packet, TimePoint at, TimePoint now,
+                            Sink &sink)
+{
     const std::optional<Segment> segment = this->options.codec->parse(packet);
     if (!segment || segment->isBounced) {
         ++this->counts.malformed;
@@ -60,18 +66,53 @@
     }
     const ConfigurationPointer &configuration = this->fleet.configuration();
     if (configuration == nullptr) {
-        ++this->counts.dropped;
-        sink.log(Level::Warning, "packet_dropped",
-                 { { "flow", toString(segment->key) }, { "reason", "no_configuration" } });
+        this->hold(*segment, at, sink);
         return;
     }
     const auto route = configuration->routes.find(segment->key.destination);
     if (route == configuration->routes.end())
         this->onNoRoute(*segment, now, sink);
-    else if (segment->isOpening())
+    else if (!segment->isOpening())
+        this->onEstablished(*segment, now, sink);
+    else if (this->canPlace(now))
         this->onOpening(*segment, route->second, now, sink);
     else
-        this->onEstablished(*segment, now, sink);
+        this->hold(*segment, at, sink);
+}
+
+bool Balancer::canPlace(TimePoint now) const
+{
+    if (now - this->startedAt >= firstPlacementDelay)
+        return true;
+    const std::vector<AgentIndex> known = this->directory.holders();
+    return this->hasAgentList && std::all_of(known.begin(), known.end(), [&](AgentIndex agent) {
+               return !this->directory.at(agent).report.service.value.empty();
+           });
+}
+
+void Balancer::hold(const Segment &segment, TimePoint at, Sink &sink)
+{
+    if (this->early.size() < earlyCapacity) {
+        ++this->counts.held;
+        this->early.push_back({ { segment.bytes.begin(), segment.bytes.end() }, at });
+        return;
+    }
+    ++this->counts.dropped;
+    sink.log(Level::Warning, "packet_dropped",
+             { { "flow", toString(segment.key) }, { "reason", "just_started" } });
+}
+
+void Balancer::releaseEarly(TimePoint now, Sink &sink)
+{
+    if (this->early.empty() || this->fleet.configuration() == nullptr)
+        return;
+    // Opening packets may have to wait on.
+    for (const EarlyPacket &packet : std::exchange(this->early, {})) {
+        if (now - packet.at <= earlyTime)
+            this->handlePacket(packet.bytes, packet.at, now, sink);
+        else
+            ++this->counts.dropped;
+    }
 }
 
 void Balancer::onNoRoute(const Segment &segment, TimePoint now, Sink &sink)
@@ -112,7 +153,7 @@
     const ServiceName &service = route.serviceFor(flowHash);
     std::vector<AgentDirectory::Candidate> order =
             this->directory.candidates(service, this->fleet, flowHash, now);
-    if (order.empty() || now - this->startedAt < firstPlacementDelay) {
+    if (order.empty()) {
         if (copy == 0 && now - this->startedAt >= settleTime) {
             this->reset(segment, "no_server", this->counts.resetNoServer, sink);
         } else {
@@ -120,7 +161,7 @@
             sink.log(Level::Info, "packet_dropped",
                      { { "flow", toString(segment.key) },
                        { "copy", std::to_string(copy) },
-                       { "reason", order.empty() ? "no_server" : "just_started" } });
+                       { "reason", "no_server" } });
         }
         return;
     }
@@ -449,6 +490,9 @@
         sink.log(Level::Info, "balancer_heard",
                  { { "node", hello.name.value }, { "endpoint", toString(from) } });
     this->peerStates[from].isStoreReachable = hello.isStoreReachable;
+    // A new balancer needs the reports of all agents soon; a few nodes tell them of it.
+    if (hello.wantsAnswer && this->storeReader.isActive())
+        this->notifyAgents(now, sink);
     if (this->peers.add(hello.balancers, now))
         this->nextHello = now;
     const bool isNewer = hello.configuration > this->fleet.configurationRevision()
@@ -475,6 +519,7 @@
     if (!agent)
         return;
     this->notify(*agent, now, sink);
+    this->releaseEarly(now, sink);
     for (const std::uint64_t flowHash : this->searches.all()) {
         FlowSearch *search = this->searches.find(flowHash);
         const bool mayHold = !report.knowsAllFlows || report.holdings.test(bucketOf(flowHash));
@@ -544,6 +589,7 @@
     }
     for (const Endpoint &agent : decodeEndpoints(document[1].get_binary()))
         this->directory.expect(agent, now);
+    this->hasAgentList = true;
     if (this->fleet.adopt(*decoded))
         this->onStateChanged("peer", now, sink);
 }
@@ -581,6 +627,12 @@
                { "evacuated", zones },
                { "evacuation_revision", std::to_string(this->fleet.evacuationRevision()) } });
     this->sendHellos(false, now, sink);
+    this->notifyAgents(now, sink);
+    this->releaseEarly(now, sink);
+}
+
+void Balancer::notifyAgents(TimePoint now, Sink &sink)
+{
     for (const AgentIndex agent : this->directory.holders())
         this->notify(agent, now, sink);
 }
@@ -656,8 +708,11 @@
 
 TimePoint Balancer::nextTimer() const
 {
-    return std::min({ this->nextHello, this->nextHousekeeping, this->searches.nextDeadline(),
-                      this->storeReader.nextQuery() });
+    TimePoint next = std::min({ this->nextHello, this->nextHousekeeping,
+                                this->searches.nextDeadline(), this->storeReader.nextQuery() });
+    if (!this->early.empty() && this->fleet.configuration() != nullptr)
+        next = std::min(next, this->startedAt + firstPlacementDelay);
+    return next;
 }
 
 void Balancer::onTimer(TimePoint now, Sink &sink)
@@ -676,6 +731,7 @@
     }
     if (now >= this->nextHello)
         this->sendHellos(false, now, sink);
+    this->releaseEarly(now, sink);
 }
 
 void Balancer::onPaused(TimePoint now, Sink &sink)
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -51,6 +51,7 @@
     std::uint64_t packets = 0; // from callers
     std::uint64_t malformed = 0;
     std::uint64_t placed = 0; // opening packets given to an agent
+    std::uint64_t held = 0; // until the balancer had its state
     std::uint64_t placedInZone = 0; // of these, to one of the own failure domain
     std::uint64_t forwarded = 0; // to the remembered agent of their flow
     std::uint64_t searches = 0; // flows
@@ -114,9 +115,13 @@
     // Peers name the agents they know when a new balancer fetches their state; where all balancers
     // are new, agents report every 100 ms until they hear one.
     static constexpr std::chrono::milliseconds certainTime{ 800 };
-    // The first agent that a new balancer hears must not get every flow. Callers repeat their
-    // opening packets 200 and 600 ms after the first.
-    static constexpr std::chrono::milliseconds firstPlacementDelay{ 300 };
+    // The first agent that a new balancer hears must not get every flow. Agents that run report
+    // within 150 ms; peers name the agents to wait for.
+    static constexpr std::chrono::milliseconds firstPlacementDelay{ 250 };
+    // Packets that come before a new balancer can handle them. Callers repeat them after 200 ms, so
+    // one that waits longer than an opening (1.4 s) is of no use.
+    static constexpr std::size_t earlyCapacity = 512;
+    static constexpr std::chrono::milliseconds earlyTime{ 1000 };
     static constexpr std::chrono::milliseconds housekeepingInterval{ 250 };
     // Nodes that read the store; the others hear from them.
     static constexpr std::size_t readers = 3;
@@ -136,11 +141,24 @@
     static constexpr std::chrono::milliseconds stopLimit{ 4500 };
     static constexpr std::chrono::milliseconds directoryDelay{ 1500 };
 
+    struct EarlyPacket
+    {
+        std::vector<std::uint8_t> bytes;
+        TimePoint at;
+    };
+
     struct PeerState
     {
         bool isStoreReachable = true;
     };
 
+    void handlePacket(std::span<const std::uint8_t> packet, TimePoint at, TimePoint now,
+                      Sink &sink);
+    // Keeps a packet until the balancer can handle it.
+    void hold(const Segment &segment, TimePoint at, Sink &sink);
+    void releaseEarly(TimePoint now, Sink &sink);
+    // False while flows would go to the few agents that were heard first.
+    bool canPlace(TimePoint now) const;
     void onOpening(const Segment &segment, const Route &route, TimePoint now, Sink &sink);
     void onEstablished(const Segment &segment, TimePoint now, Sink &sink);
     void onNoRoute(const Segment &segment, TimePoint now, Sink &sink);
@@ -162,6 +180,7 @@
     void onHello(const BalancerHello &hello, Endpoint from, TimePoint now, Sink &sink);
     void onReport(const AgentReport &report, Endpoint from, TimePoint now, Sink &sink);
     void notify(AgentIndex agent, TimePoint now, Sink &sink);
+    void notifyAgents(TimePoint now, Sink &sink);
     void onStateChanged(const char *source, TimePoint now, Sink &sink);
     void sendHello(Endpoint to, bool wantsAnswer, TimePoint now, Sink &sink);
     void sendHellos(bool wantsAnswer, TimePoint now, Sink &sink);
@@ -179,6 +198,8 @@
     TokenBucket questions{ questionsPerSecond, questionsAtOnce };
     StateReader storeReader;
     BalancerCounters counts;
+    std::vector<EarlyPacket> early;
+    bool hasAgentList = false; // a peer has named the agents
     std::optional<Endpoint> fetchFrom;
     bool isFetching = false;
     TimePoint startedAt;
--- a/mesh/flows_test.cpp
+++ b/mesh/flows_test.cpp
@@ -274,6 +274,30 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
 }
 
+// The fabric may use a balancer at once; a packet that it dropped would come again after 200 ms.
+BOOST_AUTO_TEST_CASE(aNewBalancerKeepsItsFirstPackets)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.restartBalancer("b1");
+    this->world.fromCaller("b1", opening(callerOf(2), booking));
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking, 30ms));
+    this->world.run(70ms);
+    BOOST_TEST(this->world.packetsTo(callerOf(2)).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(aNewBalancerWithoutAnyPeerPlacesFlowsSoon)
+{
+    World alone;
+    alone.addBalancer("b1", "zone-a");
+    alone.addAgent("a1", "zone-a", "booking");
+    alone.publish(configurationOf({ { booking, "booking" } }));
+    alone.run(3s);
+    alone.restartBalancer("b1");
+    alone.fromCaller("b1", opening(callerOf(2), booking));
+    alone.run(600ms);
+    BOOST_TEST(alone.packetsTo(callerOf(2)).size() == 1u);
+}
+
 // The first agent that a new balancer hears of must not get all flows that come meanwhile.
 BOOST_AUTO_TEST_CASE(spreadsTheFlowsOfItsFirstMoments)
 {
@@ -286,9 +310,10 @@
         this->world.run(5ms);
     }
     this->world.run(400ms);
-    for (std::uint16_t i = 0; i < 50; ++i)
-        this->world.fromCaller("b1", opening(callerOf(i), booking, 2));
-    this->world.run(50ms);
+    std::size_t total = 0;
+    for (const char *agent : { "a1", "a2", "more0", "more1", "more2", "more3" })
+        total += this->world.agent(agent).server.openings.size();
+    BOOST_TEST(total == 50u);
     BOOST_TEST(this->world.agent("a1").server.openings.size() < 20u);
 }
 
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -78,6 +78,7 @@
     // True if the state has changed.
     bool onResult(const StoreResult &result, TimePoint now, FleetState &state, Sink &sink);
 
+    bool isActive() const { return this->active; }
     // False while the last two answers failed.
     bool isReachable() const { return this->failures < failureLimit; }
     TimePoint lastAnswer() const { return this->answeredAt; }
--- a/meshd/metricstext.cpp
+++ b/meshd/metricstext.cpp
@@ -21,6 +21,7 @@
     NamedCounter<BalancerCounters>{ "malformed_total", &BalancerCounters::malformed },
     NamedCounter<BalancerCounters>{ "flows_placed_total", &BalancerCounters::placed },
     NamedCounter<BalancerCounters>{ "flows_placed_in_zone_total", &BalancerCounters::placedInZone },
+    NamedCounter<BalancerCounters>{ "packets_held_total", &BalancerCounters::held },
     NamedCounter<BalancerCounters>{ "packets_forwarded_total", &BalancerCounters::forwarded },
     NamedCounter<BalancerCounters>{ "flow_searches_total", &BalancerCounters::searches },
     NamedCounter<BalancerCounters>{ "flow_questions_total", &BalancerCounters::questions },
