Split the packet paths from balancer.cpp and agent.cpp

Change: balancerpackets.cpp, balancersearch.cpp and agentpackets.cpp hold the packet path and the search of the same classes; code moved, not changed.

--- /dev/null
+++ b/mesh/agentpackets.cpp
@@ -0,0 +1,314 @@
+#include "mesh/agent.h"
+
+#include <algorithm>
+
+// The packet path of an agent: admission of new flows, packets of known ones, and the server's own.
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+std::vector<Endpoint> hopsAfter(const ForwardFrame &frame)
+{
+    std::vector<Endpoint> hops;
+    for (std::size_t i = std::size_t(frame.hopIndex) + 1; i < frame.hopCount; ++i)
+        hops.push_back(frame.hops[i].agent);
+    return hops;
+}
+
+} // namespace
+
+void Agent::onForward(const ForwardFrame &frame, TimePoint now, Sink &sink)
+{
+    const std::optional<Segment> segment = this->options.codec->parse(frame.packet);
+    if (!segment) {
+        ++this->counts.malformed;
+        sink.log(Level::Warning, "packet_malformed", { { "balancer", toString(frame.replyTo) } });
+        return;
+    }
+    if (frame.has(frameflag::locate))
+        this->onLocate(frame, *segment, sink);
+    else if (segment->isOpening())
+        this->onOpening(frame, *segment, now, sink);
+    else
+        this->onEstablished(frame, *segment, now, sink);
+}
+
+std::optional<Agent::Decline> Agent::declines(TimePoint now) const
+{
+    if (this->isStopping)
+        return Decline{ "agent_stopping", false };
+    if (this->isEvacuated)
+        return Decline{ "zone_evacuated", false };
+    switch (this->record.phase()) {
+    case ServerPhase::Ready:
+        break;
+    case ServerPhase::Draining:
+        return Decline{ "server_draining", false };
+    case ServerPhase::Ended:
+        return Decline{ "server_ended", false };
+    default:
+        return Decline{ "no_heartbeat", true };
+    }
+    if (this->limits.connections > 0 && this->flows.openCount() >= this->limits.connections)
+        return Decline{ "connections_full", false };
+    if (this->record.isCold(now)) {
+        const double allowed = this->limits.coldFlowsPerSecond;
+        if (!this->coldMeter.isFree(allowed, now))
+            return Decline{ "cold_limit", true };
+        if (allowed > 0 && this->flows.load().requestsPerSecond(now) >= allowed)
+            return Decline{ "cold_load", true };
+    }
+    return std::nullopt;
+}
+
+Duration Agent::expectedWait() const
+{
+    // A flow that was just admitted has a request on its way.
+    const std::size_t busy = this->flows.load().inProgress() + this->flows.freshCount();
+    const std::size_t slots = this->record.slots();
+    if (busy < slots)
+        return Duration::zero();
+    const Duration measured = this->flows.load().serviceTime();
+    const Duration service = measured > Duration::zero() ? measured : Duration(assumedServiceTime);
+    return service * std::int64_t(busy - slots + 1) / std::int64_t(slots);
+}
+
+void Agent::onOpening(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink)
+{
+    const Opening opening{ .balancer = frame.replyTo,
+                           .remaining = hopsAfter(frame),
+                           .patience = frame.patience,
+                           .mayBeTakenSoon = frame.has(frameflag::mayBeTakenSoon),
+                           .packet = frame.packet };
+    if (frame.service != this->service) {
+        // The sender takes this agent for the one of another service that had the address before.
+        this->reply(Verdict::WrongService, segment.key, frame.replyTo, sink);
+        this->passOn(opening, segment, { "wrong_service", true }, sink);
+        return;
+    }
+    ServerFlow *flow = this->flows.find(segment.key);
+    const bool isCopy = flow != nullptr && flow->isOpenedBy(segment);
+    if (!isCopy) {
+        if (const std::optional<Decline> decline = this->declines(now)) {
+            this->passOn(opening, segment, *decline, sink);
+            return;
+        }
+        if (!opening.remaining.empty() && this->expectedWait() > opening.patience) {
+            ++this->counts.passedOnBusy;
+            this->passOn(opening, segment, { "busy", true }, sink);
+            return;
+        }
+        flow = &this->flows.open(segment.key, now);
+    }
+    flow->openingSequence = segment.sequence;
+    flow->balancer = frame.replyTo;
+    flow->lastActive = now;
+    if (!flow->isAnswered)
+        flow->remaining = opening.remaining;
+    this->coldMeter.add(now);
+    ++this->counts.admitted;
+    ++this->counts.toServer;
+    sink.toServer(segment.bytes);
+    if (!isCopy && this->hasFlowCountChanged())
+        this->reportSoon(now);
+}
+
+void Agent::passOn(const Opening &opening, const Segment &segment, const Decline &decline,
+                   Sink &sink)
+{
+    const std::vector<Endpoint> &remaining = opening.remaining;
+    const bool mayBeTakenSoon = opening.mayBeTakenSoon || decline.isTransient;
+    sink.log(Level::Info, "flow_declined",
+             { { "flow", toString(segment.key) },
+               { "copy", std::to_string(segment.acknowledgement) },
+               { "reason", decline.reason },
+               { "flows", std::to_string(this->flows.openCount()) },
+               { "next", remaining.empty() ? "none" : toString(remaining.front()) } });
+    if (remaining.empty()) {
+        this->reply(Verdict::Declined, segment.key, opening.balancer, sink);
+        // Only for the first copy is it sure that no other agent has the flow. Where an agent may
+        // take a flow soon, the caller's next copy is its chance.
+        if (segment.acknowledgement == 0 && !mayBeTakenSoon) {
+            ++this->counts.refused;
+            this->resetCaller(segment, "no_agent_took_it", sink);
+        }
+        return;
+    }
+    ++this->counts.passedOn;
+    const unsigned flags = frameflag::newFlow | frameflag::replyWanted
+                           | (mayBeTakenSoon ? frameflag::mayBeTakenSoon : 0);
+    ForwardFrame frame{ .flags = std::uint8_t(flags),
+                        .service = this->service,
+                        .patience = opening.patience,
+                        .replyTo = opening.balancer,
+                        .hopCount = std::uint8_t(std::min(remaining.size(), maxHops)) };
+    for (std::size_t i = 0; i < frame.hopCount; ++i)
+        frame.hops[i].agent = remaining[i];
+    FrameBuffer buffer;
+    sink.toNode(remaining.front(), encodeForward(frame, buffer), opening.packet);
+}
+
+void Agent::onEstablished(const ForwardFrame &frame, const Segment &segment, TimePoint now,
+                          Sink &sink)
+{
+    if (this->isOutOfService(now)) {
+        ++this->counts.droppedEvacuated;
+        sink.log(Level::Info, "packet_dropped",
+                 { { "flow", toString(segment.key) }, { "reason", "zone_evacuated" } });
+        return;
+    }
+    ServerFlow *flow = this->flows.find(segment.key);
+    if (flow != nullptr && flow->isOpen && this->hasServerExited(now)) {
+        this->endFlow(segment, "server_exited", now, sink);
+        return;
+    }
+    if (flow == nullptr) {
+        this->onUnknown(frame, segment, now, sink);
+        return;
+    }
+    if (!flow->isOpen) {
+        if (!flow->isAcknowledgedBy(segment)) {
+            // The caller has chosen the answer of another server.
+            this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
+            return;
+        }
+        flow->isOpen = true;
+        this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
+    } else if (flow->balancer != frame.replyTo || frame.has(frameflag::replyWanted)) {
+        this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
+    }
+    flow->balancer = frame.replyTo;
+    this->flows.onCaller(*flow, segment, now);
+    ++this->counts.toServer;
+    sink.toServer(segment.bytes);
+}
+
+void Agent::onUnknown(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink)
+{
+    const ServerPhase current = this->record.phase();
+    if (this->record.beganAfterAgent() || current == ServerPhase::Ended) {
+        ++this->counts.unknownFlow;
+        this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
+        return;
+    }
+    // The server may hold the flow from before the agent's start. If not, it returns the packet.
+    this->probes[segment.key] = { .balancer = frame.replyTo, .sentAt = now };
+    ++this->counts.toServer;
+    sink.toServer(segment.bytes);
+}
+
+void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
+{
+    const ServerFlow *flow = this->flows.find(segment.key);
+    const bool isOwner = flow != nullptr && (flow->isOpen || flow->isAcknowledgedBy(segment));
+    Verdict verdict = Verdict::Owner;
+    if (!isOwner)
+        verdict = flow != nullptr || this->record.beganAfterAgent()
+                                  || this->record.phase() == ServerPhase::Ended
+                          ? Verdict::UnknownFlow
+                          : Verdict::Unsure;
+    this->reply(verdict, segment.key, frame.replyTo, sink);
+}
+
+void Agent::onServerPacket(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink)
+{
+    const std::optional<Segment> segment = this->options.codec->parse(packet);
+    if (!segment) {
+        ++this->counts.malformed;
+        sink.log(Level::Warning, "packet_malformed", { { "from", "server" } });
+        return;
+    }
+    if (segment->isBounced) {
+        this->onBounce(*segment, now, sink);
+        return;
+    }
+    const FlowKey key = segment->key.reversed();
+    ServerFlow *flow = this->flows.find(key);
+    const bool isAdoptable = !this->record.beganAfterAgent() && !segment->has(tcpflag::rst)
+                             && !segment->isOpeningAnswer();
+    if (flow == nullptr && isAdoptable) {
+        flow = &this->flows.adopt(key, now);
+        ++this->counts.adopted;
+        if (const auto it = this->probes.find(key); it != this->probes.end()) {
+            flow->balancer = it->second.balancer;
+            this->reply(Verdict::Owner, key, it->second.balancer, sink);
+            this->probes.erase(it);
+        }
+        sink.log(Level::Info, "flow_adopted", { { "flow", toString(key) } });
+    }
+    if (flow != nullptr) {
+        const bool wasAnswered = flow->isAnswered;
+        this->flows.onServer(*flow, *segment, this->record.slots(), now);
+        if (segment->isOpeningAnswer() && !wasAnswered)
+            this->reply(Verdict::Accepted, key, flow->balancer, sink);
+    }
+    ++this->counts.toCaller;
+    sink.toCaller(segment->key.destination, segment->bytes);
+}
+
+void Agent::onBounce(const Segment &segment, TimePoint now, Sink &sink)
+{
+    ++this->counts.bounced;
+    ServerFlow *flow = this->flows.find(segment.key);
+    if (segment.isOpening()) {
+        if (flow == nullptr || flow->isAnswered)
+            return; // an answer has come meanwhile, or the agent has begun anew
+        const std::vector<std::uint8_t> packet = this->options.codec->restored(segment);
+        const Opening opening{ .balancer = flow->balancer,
+                               .remaining = std::move(flow->remaining),
+                               .packet = packet };
+        this->flows.erase(segment.key, now);
+        this->passOn(opening, segment, { "server_full", false }, sink);
+        return;
+    }
+    if (const auto it = this->probes.find(segment.key); it != this->probes.end()) {
+        this->reply(Verdict::UnknownFlow, segment.key, it->second.balancer, sink);
+        this->probes.erase(it);
+        return;
+    }
+    if (flow == nullptr || !flow->isOpen || flow->hasEnded)
+        return;
+    this->endFlow(segment, "server_lost_flow", now, sink);
+}
+
+void Agent::endFlow(const Segment &segment, const char *reason, TimePoint now, Sink &sink)
+{
+    ++this->counts.resetFlows;
+    if (const ServerFlow *flow = this->flows.find(segment.key))
+        this->reply(Verdict::UnknownFlow, segment.key, flow->balancer, sink);
+    this->flows.erase(segment.key, now);
+    if (!segment.has(tcpflag::rst))
+        this->resetCaller(segment, reason, sink);
+}
+
+void Agent::resetCaller(const Segment &segment, const char *reason, Sink &sink)
+{
+    sink.log(Level::Info, "flow_reset",
+             { { "flow", toString(segment.key) }, { "reason", reason } });
+    sink.toCaller(segment.key.source, this->options.codec->resetFor(segment));
+}
+
+void Agent::reply(Verdict verdict, const FlowKey &key, Endpoint balancer, Sink &sink)
+{
+    if (balancer == Endpoint{})
+        return;
+    const ReplyFrame reply{ .verdict = verdict,
+                            .service = this->service,
+                            .flowHash = hashOf(key),
+                            .agent = this->options.mesh };
+    FrameBuffer buffer;
+    sink.toNode(balancer, encodeReply(reply, buffer), {});
+}
+
+bool Agent::hasServerExited(TimePoint now) const
+{
+    return this->record.phase() == ServerPhase::Ended && now - this->deregisteredAt > exitDelay;
+}
+
+bool Agent::isOutOfService(TimePoint now) const
+{
+    return this->isEvacuated && now - this->evacuatedAt > evacuationGrace;
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/balancerpackets.cpp
@@ -0,0 +1,286 @@
+#include "mesh/balancer.h"
+
+#include <algorithm>
+
+// The packet path of a balancer: placing new flows, handing on known ones, and replies of agents.
+
+namespace cactusdeck::mesh {
+
+namespace {
+
+using StampTick = std::chrono::duration<std::int64_t, std::ratio<1, 16>>;
+
+} // namespace
+
+std::uint32_t Balancer::stampOf(TimePoint now)
+{
+    return std::uint32_t(std::chrono::floor<StampTick>(now.time_since_epoch()).count());
+}
+
+void Balancer::onCallerPacket(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink)
+{
+    ++this->counts.packets;
+    this->lastPacket = now;
+    this->handlePacket(packet, now, now, sink);
+}
+
+void Balancer::handlePacket(std::span<const std::uint8_t> packet, TimePoint at, TimePoint now,
+                            Sink &sink)
+{
+    const std::optional<Segment> segment = this->options.codec->parse(packet);
+    if (!segment || segment->isBounced) {
+        ++this->counts.malformed;
+        sink.log(Level::Warning, "packet_malformed",
+                 { { "from", "fabric" }, { "bytes", std::to_string(packet.size()) } });
+        return;
+    }
+    const ConfigurationPointer &configuration = this->fleet.configuration();
+    if (configuration == nullptr) {
+        this->hold(*segment, at, sink);
+        return;
+    }
+    const auto route = configuration->routes.find(segment->key.destination);
+    if (route == configuration->routes.end())
+        this->onNoRoute(*segment, now, sink);
+    else if (!segment->isOpening())
+        this->onEstablished(*segment, now, sink);
+    else if (this->canPlace(now))
+        this->onOpening(*segment, route->second, now, sink);
+    else
+        this->hold(*segment, at, sink);
+}
+
+bool Balancer::canPlace(TimePoint now) const
+{
+    if (now - this->startedAt >= firstPlacementDelay)
+        return true;
+    const std::vector<AgentIndex> known = this->directory.holders();
+    return this->hasAgentList && std::all_of(known.begin(), known.end(), [&](AgentIndex agent) {
+               return !this->directory.at(agent).report.service.value.empty();
+           });
+}
+
+void Balancer::hold(const Segment &segment, TimePoint at, Sink &sink)
+{
+    if (this->early.size() < earlyCapacity) {
+        ++this->counts.held;
+        this->early.push_back({ { segment.bytes.begin(), segment.bytes.end() }, at });
+        return;
+    }
+    ++this->counts.dropped;
+    sink.log(Level::Warning, "packet_dropped",
+             { { "flow", toString(segment.key) }, { "reason", "just_started" } });
+}
+
+void Balancer::releaseEarly(TimePoint now, Sink &sink)
+{
+    if (this->early.empty() || this->fleet.configuration() == nullptr)
+        return;
+    // Opening packets may have to wait on.
+    for (const EarlyPacket &packet : std::exchange(this->early, {})) {
+        if (now - packet.at <= earlyTime)
+            this->handlePacket(packet.bytes, packet.at, now, sink);
+        else
+            ++this->counts.dropped;
+    }
+}
+
+void Balancer::onNoRoute(const Segment &segment, TimePoint now, Sink &sink)
+{
+    if (segment.isOpening()) {
+        this->reset(segment, "no_route", this->counts.resetNoRoute, sink);
+        return;
+    }
+    const std::uint64_t flowHash = hashOf(segment.key);
+    const bool wasDropped = this->fleet.wasDropped(segment.key.destination);
+    if (wasDropped && this->cache.find(flowHash) != nullptr) {
+        this->cache.erase(flowHash);
+        this->reset(segment, "route_dropped", this->counts.resetNoRoute, sink);
+        return;
+    }
+    if (wasDropped) {
+        ++this->counts.dropped;
+        return;
+    }
+    // Another balancer may know a newer configuration, so the flow may be a good one.
+    this->onEstablished(segment, now, sink);
+}
+
+void Balancer::onOpening(const Segment &segment, const Route &route, TimePoint now, Sink &sink)
+{
+    const std::uint64_t flowHash = hashOf(segment.key);
+    const std::uint32_t copy = segment.acknowledgement;
+    if (copy == 0)
+        this->cache.erase(flowHash); // of an earlier flow with the same key
+    FlowCache::Entry *entry = this->cache.find(flowHash);
+    const bool hasOwner =
+            entry != nullptr && !entry->isPending()
+            && this->directory.ownerState(entry->agent, entry->generation) == OwnerState::Present;
+    if (hasOwner && (entry->isConfirmed() || copy < copyOfDoubt)) {
+        this->forward(segment, entry->agent, frameflag::newFlow | frameflag::replyWanted, sink);
+        return;
+    }
+    const ServiceName &service = route.serviceFor(flowHash);
+    std::vector<AgentDirectory::Candidate> order =
+            this->directory.candidates(service, this->fleet, flowHash, now);
+    if (order.empty()) {
+        if (copy == 0 && now - this->startedAt >= settleTime) {
+            this->reset(segment, "no_server", this->counts.resetNoServer, sink);
+        } else {
+            ++this->counts.dropped;
+            sink.log(Level::Info, "packet_dropped",
+                     { { "flow", toString(segment.key) },
+                       { "copy", std::to_string(copy) },
+                       { "reason", "no_server" } });
+        }
+        return;
+    }
+    if (entry != nullptr) {
+        // No answer came to the last copy, so its agent may be gone.
+        const auto tried = std::find_if(order.begin(), order.end(), [&](const auto &candidate) {
+            return candidate.agent == entry->agent;
+        });
+        if (tried != order.end())
+            std::rotate(tried, tried + 1, order.end());
+    }
+    const AgentIndex first = order.front().agent;
+    ForwardFrame frame{ .flags = frameflag::newFlow | frameflag::replyWanted,
+                        .service = serviceIdOf(service),
+                        .configuration = this->fleet.configurationRevision(),
+                        .replyTo = this->options.mesh,
+                        .hopCount = std::uint8_t(std::min(order.size(), placementHops)) };
+    for (std::size_t i = 0; i < frame.hopCount; ++i)
+        frame.hops[i].agent = this->directory.at(order[i].agent).endpoint;
+    if (order.size() > 1)
+        frame.patience = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::max(Duration::zero(), order[1].cost - order[0].cost));
+    FrameBuffer buffer;
+    sink.toNode(frame.hops[0].agent, encodeForward(frame, buffer), segment.bytes);
+    this->directory.onPlaced(first, now);
+    if (entry == nullptr)
+        entry = &this->cache.insert(flowHash, stampOf(now));
+    const AgentDirectory::Agent &agent = this->directory.at(first);
+    entry->stamp = stampOf(now);
+    entry->agent = first;
+    entry->generation = agent.generation;
+    entry->attempts = std::uint8_t(copy + 1);
+    const bool isInZone = agent.report.zone == this->options.zone;
+    ++this->counts.placed;
+    this->counts.placedInZone += isInZone ? 1 : 0;
+    sink.log(Level::Info, "flow_placed",
+             { { "flow", toString(segment.key) },
+               { "copy", std::to_string(copy) },
+               { "service", service.value },
+               { "agent", agent.report.name.value },
+               { "in_zone", isInZone ? "yes" : "no" },
+               { "candidates", std::to_string(order.size()) },
+               { "flows", std::to_string(agent.report.flows) },
+               { "configuration", std::to_string(this->fleet.configuration()->version) } });
+}
+
+void Balancer::onEstablished(const Segment &segment, TimePoint now, Sink &sink)
+{
+    const std::uint64_t flowHash = hashOf(segment.key);
+    FlowCache::Entry *entry = this->cache.find(flowHash);
+    if (entry == nullptr || entry->isPending()) {
+        this->search(segment, flowHash, now, sink);
+        return;
+    }
+    switch (this->directory.ownerState(entry->agent, entry->generation)) {
+    case OwnerState::Present:
+        entry->stamp = stampOf(now);
+        ++this->counts.forwarded;
+        this->forward(segment, entry->agent, 0, sink);
+        return;
+    case OwnerState::Lost:
+        this->cache.erase(flowHash);
+        this->search(segment, flowHash, now, sink);
+        return;
+    case OwnerState::Ended:
+        break;
+    }
+    const bool wasOpen = entry->isConfirmed();
+    this->cache.erase(flowHash);
+    if (wasOpen)
+        this->reset(segment, "server_ended", this->counts.resetEnded, sink);
+    else
+        this->search(segment, flowHash, now, sink); // the caller may have chosen another server
+}
+
+void Balancer::forward(const Segment &segment, AgentIndex index, std::uint8_t flags, Sink &sink)
+{
+    const AgentDirectory::Agent &agent = this->directory.at(index);
+    ForwardFrame frame{ .flags = flags,
+                        .service = serviceIdOf(agent.report.service),
+                        .configuration = this->fleet.configurationRevision(),
+                        .replyTo = this->options.mesh,
+                        .hopCount = 1 };
+    frame.hops[0].agent = agent.endpoint;
+    FrameBuffer buffer;
+    sink.toNode(agent.endpoint, encodeForward(frame, buffer), segment.bytes);
+}
+
+void Balancer::reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink)
+{
+    if (segment.has(tcpflag::rst))
+        return;
+    ++counter;
+    sink.log(Level::Info, "flow_reset",
+             { { "flow", toString(segment.key) },
+               { "reason", reason },
+               { "opening", segment.isOpening() ? "yes" : "no" },
+               { "configuration",
+                 std::to_string(this->fleet.configuration() == nullptr
+                                        ? 0
+                                        : this->fleet.configuration()->version) } });
+    sink.toCaller(segment.key.source, this->options.codec->resetFor(segment));
+}
+
+void Balancer::onReply(const ReplyFrame &reply, TimePoint now, Sink &sink)
+{
+    this->directory.onHeard(reply.agent, now);
+    const std::optional<AgentIndex> agent = this->directory.find(reply.agent);
+    if (!agent)
+        return;
+    FlowCache::Entry *entry = this->cache.find(reply.flowHash);
+    switch (reply.verdict) {
+    case Verdict::Accepted:
+        // The caller takes the first answer, so a later one changes nothing.
+        if (entry != nullptr && entry->isPending()) {
+            entry->agent = *agent;
+            entry->generation = this->directory.at(*agent).generation;
+            entry->attempts = FlowCache::accepted;
+        }
+        break;
+    case Verdict::Owner:
+        if (entry == nullptr)
+            entry = &this->cache.insert(reply.flowHash, stampOf(now));
+        entry->stamp = stampOf(now);
+        entry->agent = *agent;
+        entry->generation = this->directory.at(*agent).generation;
+        entry->attempts = FlowCache::confirmed;
+        if (const FlowSearch *search = this->searches.find(reply.flowHash)) {
+            ++this->counts.searchesFound;
+            // A probe has already given the first packet to the server.
+            for (const std::vector<std::uint8_t> &packet : search->packets()) {
+                if (const auto segment = this->options.codec->parse(packet))
+                    this->forward(*segment, *agent, 0, sink);
+            }
+            this->searches.erase(reply.flowHash);
+        }
+        break;
+    case Verdict::UnknownFlow:
+        if (entry != nullptr && entry->agent == *agent)
+            this->cache.erase(reply.flowHash);
+        this->onSearchAnswer(reply.flowHash, *agent, SearchAnswer::Unknown, now, sink);
+        break;
+    case Verdict::Unsure:
+        this->onSearchAnswer(reply.flowHash, *agent, SearchAnswer::Unsure, now, sink);
+        break;
+    default:
+        // Declined and wrong service: the agent's report and log tell the rest.
+        break;
+    }
+}
+
+} // namespace cactusdeck::mesh
--- /dev/null
+++ b/mesh/balancersearch.cpp
@@ -0,0 +1,153 @@
+#include "mesh/balancer.h"
+
+#include <algorithm>
+
+// How a balancer finds the agent of a flow that it does not remember.
+
+namespace cactusdeck::mesh {
+
+void Balancer::search(const Segment &segment, std::uint64_t flowHash, TimePoint now, Sink &sink)
+{
+    if (FlowSearch *search = this->searches.find(flowHash)) {
+        search->hold(segment.bytes);
+        return;
+    }
+    std::vector<AgentIndex> silent;
+    const SearchPlan plan = this->planSearch(segment.key, silent, now);
+    if (plan.asked.empty() && plan.unconfirmed.empty() && silent.empty()) {
+        ++this->counts.dropped;
+        sink.log(Level::Warning, "packet_dropped",
+                 { { "flow", toString(segment.key) }, { "reason", "no_agent_known" } });
+        return;
+    }
+    FlowSearch *search = this->searches.begin(segment.key, plan, now);
+    if (search == nullptr) {
+        ++this->counts.dropped;
+        sink.log(Level::Warning, "packet_dropped",
+                 { { "flow", toString(segment.key) }, { "reason", "too_many_searches" } });
+        return;
+    }
+    ++this->counts.searches;
+    search->hold(segment.bytes);
+    for (const AgentIndex agent : plan.asked)
+        this->ask(agent, segment, sink);
+    // Silent agents are not waited for.
+    for (const AgentIndex agent : silent)
+        this->ask(agent, segment, sink);
+}
+
+SearchPlan Balancer::planSearch(const FlowKey &key, std::vector<AgentIndex> &silent, TimePoint now)
+{
+    // Of all services: the flow may be from before the route got its present ones.
+    const std::vector<AgentIndex> holders = this->directory.holders();
+    const Bucket bucket = bucketOf(hashOf(key));
+    const bool isAskingAll = this->questions.take(double(holders.size()), now);
+    SearchPlan plan;
+    for (const AgentIndex agent : holders) {
+        const AgentDirectory::Agent &entry = this->directory.at(agent);
+        const bool isRuledOut = entry.report.knowsAllFlows && !entry.report.holdings.test(bucket);
+        if (!this->directory.isResponding(entry, now)) {
+            plan.isComplete = false;
+            if (isAskingAll || !isRuledOut)
+                silent.push_back(agent);
+        } else if (isRuledOut && !isAskingAll) {
+            plan.unconfirmed.push_back(agent);
+        } else {
+            plan.asked.push_back(agent);
+        }
+    }
+    return plan;
+}
+
+void Balancer::ask(AgentIndex agent, const Segment &segment, Sink &sink)
+{
+    ++this->counts.questions;
+    ForwardFrame frame{ .flags = frameflag::locate, .replyTo = this->options.mesh, .hopCount = 1 };
+    frame.hops[0].agent = this->directory.at(agent).endpoint;
+    FrameBuffer buffer;
+    sink.toNode(frame.hops[0].agent, encodeForward(frame, buffer),
+                this->options.codec->head(segment));
+}
+
+bool Balancer::mayHold(const FlowKey &key, AgentIndex agent) const
+{
+    return this->fleet.mayServe(key.destination, this->directory.at(agent).report.service);
+}
+
+void Balancer::onSearchAnswer(std::uint64_t flowHash, AgentIndex agent, SearchAnswer answer,
+                              TimePoint now, Sink &sink)
+{
+    if (FlowSearch *search = this->searches.find(flowHash))
+        this->follow(flowHash, search->onAnswer(agent, answer, now), now, sink);
+}
+
+void Balancer::follow(std::uint64_t flowHash, SearchStage stage, TimePoint now, Sink &sink)
+{
+    FlowSearch *search = this->searches.find(flowHash);
+    if (stage == SearchStage::MustProbe) {
+        this->probe(flowHash, *search, now, sink);
+    } else if (stage == SearchStage::Exhausted) {
+        this->finishSearch(flowHash, now, sink);
+    } else if (stage == SearchStage::Unresolved) {
+        ++this->counts.searchesExpired;
+        sink.log(Level::Info, "search_unresolved", { { "flow", toString(search->key()) } });
+        this->searches.erase(flowHash);
+    }
+}
+
+void Balancer::onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink)
+{
+    FlowSearch *search = this->searches.find(flowHash);
+    const std::vector<AgentIndex> &missing = search->missing();
+    sink.log(Level::Info, "search_unanswered",
+             { { "flow", toString(search->key()) },
+               { "stage", std::to_string(int(search->stage())) },
+               { "missing", std::to_string(missing.size()) },
+               { "first_missing",
+                 missing.empty() ? "none"
+                                 : this->directory.at(missing.front()).report.name.value } });
+    this->follow(flowHash, search->onDue(now), now, sink);
+}
+
+void Balancer::probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink)
+{
+    const std::vector<std::uint8_t> packet = search.packets().front();
+    const std::optional<Segment> segment = this->options.codec->parse(packet);
+    if (!segment)
+        return;
+    std::vector<AgentIndex> agents;
+    for (const AgentIndex agent : search.unsure()) {
+        if (this->mayHold(segment->key, agent))
+            agents.push_back(agent);
+    }
+    for (const AgentIndex agent : agents)
+        this->forward(*segment, agent, frameflag::probe, sink);
+    search.probe(std::move(agents), now);
+    this->follow(flowHash, search.stage(), now, sink);
+}
+
+// Nobody holds the flow. The caller is told if this balancer knows every agent, since its wait for
+// an answer is in vain.
+void Balancer::finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink)
+{
+    const FlowSearch *search = this->searches.find(flowHash);
+    const std::vector<std::uint8_t> packet = search->packets().front();
+    this->searches.erase(flowHash);
+    this->cache.erase(flowHash);
+    const std::optional<Segment> segment = this->options.codec->parse(packet);
+    if (!segment)
+        return;
+    const bool isCertain = now - this->startedAt >= certainTime;
+    // The sender of a mere acknowledgement doesn't wait for anything.
+    if (isCertain && (segment->payloadLength > 0 || segment->has(tcpflag::fin))) {
+        this->reset(*segment, "flow_unknown", this->counts.resetEnded, sink);
+        return;
+    }
+    ++this->counts.dropped;
+    sink.log(Level::Info, "packet_dropped",
+             { { "flow", toString(segment->key) },
+               { "reason", "flow_unknown" },
+               { "certain", isCertain ? "yes" : "no" } });
+}
+
+} // namespace cactusdeck::mesh
