Serve latency histograms of agents

Cause: the users ask for latency histograms on the metrics address, and there were counters and gauges only.

Change: an agent counts the time from a request's first packet to the first byte of its answer, and from an opening packet to the server's answer, in two buckets for each doubling (Boost.Histogram); metrics show them cumulatively.

Ruled out: times at balancers, which don't see answers.

Tests: histogramCountsEveryTime, histogramsAreCumulative.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -91,6 +91,8 @@
     const AgentCounters &counters() const { return this->counts; }
     const ServerRecord &server() const { return this->record; }
     const ServerLoad &load() const { return this->flows.load(); }
+    const LatencyHistogram &answerTimes() const { return this->flows.answerTimes(); }
+    const LatencyHistogram &openingTimes() const { return this->flows.openingTimes(); }
     std::size_t flowCount() const { return this->flows.openCount(); }
 
 private:
--- /dev/null
+++ b/mesh/latencyhistogram.h
@@ -0,0 +1,59 @@
+#ifndef CACTUSDECK_MESH_LATENCYHISTOGRAM_H
+#define CACTUSDECK_MESH_LATENCYHISTOGRAM_H
+
+#include <cstdint>
+#include <vector>
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/indexed.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include "core/types.h"
+
+// How often a time lay in which range, for the metrics: two buckets for each doubling from 1 ms to
+// 8 s, and one below and one above.
+//
+//     histogram.add(now - requestedAt);
+//     for (const LatencyHistogram::Bucket &bucket : histogram.cumulative()) ...
+
+namespace cactusdeck::mesh {
+
+class LatencyHistogram
+{
+public:
+    struct Bucket
+    {
+        std::chrono::duration<double> below; // upper bound; infinite for the last one
+        std::uint64_t count = 0; // of all times below it
+    };
+
+    void add(Duration time) { this->bins(std::chrono::duration<double>(time).count()); }
+
+    std::vector<Bucket> cumulative() const
+    {
+        std::vector<Bucket> buckets;
+        std::uint64_t total = 0;
+        for (const auto &bin :
+             boost::histogram::indexed(this->bins, boost::histogram::coverage::all)) {
+            total += std::uint64_t(*bin);
+            buckets.push_back({ std::chrono::duration<double>(bin.bin().upper()), total });
+        }
+        return buckets;
+    }
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Bins =
+            decltype(boost::histogram::make_histogram_with(std::vector<double>(), Axis(1, 1, 2)));
+
+    static constexpr double least = 0.001; // seconds
+    static constexpr double most = 8.192; // seconds, 13 doublings
+    static constexpr unsigned bucketCount = 26;
+
+    Bins bins = boost::histogram::make_histogram_with(std::vector<double>(),
+                                                      Axis(bucketCount, least, most));
+};
+
+} // namespace cactusdeck::mesh
+
+#endif // CACTUSDECK_MESH_LATENCYHISTOGRAM_H
--- a/mesh/placement_test.cpp
+++ b/mesh/placement_test.cpp
@@ -1,8 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+
 #include "mesh/agentdirectory.h"
 #include "mesh/coldmeter.h"
 #include "mesh/expectedwait.h"
+#include "mesh/latencyhistogram.h"
 #include "mesh/serverload.h"
 
 using namespace cactusdeck;
@@ -210,6 +213,21 @@
     BOOST_TEST((load.serviceTime() == 60ms));
 }
 
+BOOST_AUTO_TEST_CASE(histogramCountsEveryTime)
+{
+    LatencyHistogram histogram;
+    for (const Duration time : { Duration(10us), Duration(30ms), Duration(31ms), Duration(20s) })
+        histogram.add(time);
+    const std::vector<LatencyHistogram::Bucket> buckets = histogram.cumulative();
+    BOOST_TEST(buckets.front().count == 1u);
+    BOOST_TEST(std::isinf(buckets.back().below.count()));
+    BOOST_TEST(buckets.back().count == 4u);
+    for (const LatencyHistogram::Bucket &bucket : buckets) {
+        if (bucket.below.count() > 0.05 && bucket.below.count() < 8)
+            BOOST_TEST(bucket.count == 3u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(loadFollowsRequestsInProgress)
 {
     ServerLoad load;
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -30,6 +30,7 @@
 {
     this->erase(key, now);
     ServerFlow &flow = this->flows[key];
+    flow.openedAt = now;
     flow.lastActive = now;
     ++this->live;
     ++this->fresh;
@@ -129,6 +130,8 @@
 {
     flow.lastActive = now;
     if (segment.isOpeningAnswer()) {
+        if (!flow.isAnswered)
+            this->openings.add(now - flow.openedAt);
         flow.isAnswered = true;
         flow.serverSequence = segment.sequence;
         flow.remaining.clear();
@@ -139,6 +142,7 @@
         this->serverLoad.onResponseBytes(segment.payloadLength);
         if (flow.isInProgress) {
             flow.isInProgress = false;
+            this->answers.add(now - flow.requestedAt);
             this->serverLoad.onResponse(now - flow.requestedAt, flow.inProgressBefore, slots, now);
         }
     }
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/flowtable.h"
+#include "mesh/latencyhistogram.h"
 #include "mesh/segment.h"
 #include "mesh/serverload.h"
 
@@ -36,6 +37,7 @@
     // The caller's last acknowledgement, or where its server is in the sequence.
     std::uint32_t callerAcknowledgement = 0;
     std::uint32_t inProgressBefore = 0; // requests of the server when this one arrived
+    TimePoint openedAt;
     TimePoint requestedAt;
     TimePoint lastActive;
     Endpoint balancer; // that sent the last packet; learns of changes
@@ -74,6 +76,10 @@
     // Flows that have not brought their first request yet, while it can still come at any moment.
     std::size_t freshCount() const { return this->fresh; }
     const ServerLoad &load() const { return this->serverLoad; }
+    // From a request's first packet to the first byte of its answer, all runs of the server.
+    const LatencyHistogram &answerTimes() const { return this->answers; }
+    // From an opening packet to the server's answer.
+    const LatencyHistogram &openingTimes() const { return this->openings; }
 
 private:
     // An unanswered opening packet: the caller gives up after 1.4 s.
@@ -91,6 +97,8 @@
     std::size_t live = 0;
     std::size_t fresh = 0;
     ServerLoad serverLoad;
+    LatencyHistogram answers;
+    LatencyHistogram openings;
 };
 
 } // namespace cactusdeck::mesh
--- a/meshd/meshd_test.cpp
+++ b/meshd/meshd_test.cpp
@@ -267,6 +267,15 @@
 
 BOOST_AUTO_TEST_SUITE(metricsAsText)
 
+BOOST_AUTO_TEST_CASE(histogramsAreCumulative)
+{
+    const mesh::Agent agent({ .name = NodeId{ "a1" }, .codec = &platform::segmentCodec });
+    const LogWriter log({});
+    const std::string text = metricsText(agent, log, TimePoint{ 1h });
+    BOOST_TEST(linesIn(text, "cactusdeck_answer_seconds_bucket{le=\"+Inf\"} 0") == 1u);
+    BOOST_TEST(linesIn(text, "cactusdeck_opening_seconds_bucket") == 28u);
+}
+
 BOOST_AUTO_TEST_CASE(countersAreNamed)
 {
     const mesh::Balancer balancer({ .name = NodeId{ "b1" },
--- a/meshd/metricstext.cpp
+++ b/meshd/metricstext.cpp
@@ -1,6 +1,7 @@
 #include "meshd/metricstext.h"
 
 #include <array>
+#include <cmath>
 
 namespace cactusdeck::meshd {
 
@@ -68,6 +69,16 @@
         for (const NamedCounter<Counters> &entry : table)
             this->add(entry.name, counters.*(entry.value));
     }
+    void add(const char *name, const mesh::LatencyHistogram &histogram)
+    {
+        for (const auto &bucket : histogram.cumulative()) {
+            const std::string bound = std::isinf(bucket.below.count())
+                                              ? "+Inf"
+                                              : std::to_string(bucket.below.count());
+            this->text += std::string("cactusdeck_") + name + "_bucket{le=\"" + bound + "\"} "
+                          + std::to_string(bucket.count) + "\n";
+        }
+    }
     void add(const LogWriter &log)
     {
         this->add("log_lines_total", log.lines());
@@ -114,6 +125,8 @@
     text.add("flows_open", agent.flowCount());
     text.add("requests_in_progress", agent.load().inProgress());
     text.add("requests_per_second", agent.load().requestsPerSecond(now));
+    text.add("answer_seconds", agent.answerTimes());
+    text.add("opening_seconds", agent.openingTimes());
     text.add("service_time_seconds", seconds(agent.load().serviceTime()));
     text.add(log);
     return std::move(text.text);
