--- a/mesh/latencyhistogram.h
+++ b/mesh/latencyhistogram.h
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include <boost/histogram/axis/regular.hpp>
-#include <boost/histogram/indexed.hpp>
 #include <boost/histogram/make_histogram.hpp>
 
 #include "core/types.h"
@@ -29,17 +28,7 @@
 
     void add(Duration time) { this->bins(std::chrono::duration<double>(time).count()); }
 
-    std::vector<Bucket> cumulative() const
-    {
-        std::vector<Bucket> buckets;
-        std::uint64_t total = 0;
-        for (const auto &bin :
-             boost::histogram::indexed(this->bins, boost::histogram::coverage::all)) {
-            total += std::uint64_t(*bin);
-            buckets.push_back({ std::chrono::duration<double>(bin.bin().upper()), total });
-        }
-        return buckets;
-    }
+    std::vector<Bucket> cumulative() const;
 
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
@@ -48,7 +37,7 @@
 
     static constexpr double least = 0.001; // seconds
     static constexpr double most = 8.192; // seconds, 13 doublings
-    static constexpr unsigned bucketCount = 26;
+    static constexpr int bucketCount = 26;
 
     Bins bins = boost::histogram::make_histogram_with(std::vector<double>(),
                                                       Axis(bucketCount, least, most));
