Hand over the services of earlier configurations

The agent was unsure, and the balancer gave the flow's packets to servers of the present service only, since it did not know the earlier one.

Change: the state that balancers fetch from each other names the services that an address had before, so that probes reach the flow's own server.

Ruled out: silent agents (all had answered the question).

--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -128,6 +128,9 @@
     // The same zones under a later revision: following it ends the exchange between two nodes.
     if (other.zonesRevision > this->zonesRevision && other.zones == this->zones)
         this->zonesRevision = other.zonesRevision;
+    // What the other knows of earlier configurations: flows may be from their time.
+    for (const auto &[address, services] : other.former)
+        this->former[address].insert(services.begin(), services.end());
     return isConfigurationNew || areZonesNew;
 }
 
@@ -136,6 +139,9 @@
     json document = { { "zonesRevision", this->zonesRevision }, { "zones", json::array() } };
     for (const ZoneName &zone : this->zones)
         document["zones"].push_back(zone);
+    document["former"] = json::array();
+    for (const auto &[address, services] : this->former)
+        document["former"].push_back(json::array({ address, services }));
     if (this->routes != nullptr) {
         document["revision"] = this->routesRevision;
         document["configuration"] = toJson(*this->routes);
@@ -151,6 +157,8 @@
         document.at("zonesRevision").get_to(state.zonesRevision);
         for (const json &zone : document.at("zones"))
             state.zones.insert(zone.get<ZoneName>());
+        for (const json &entry : document.at("former"))
+            entry.at(1).get_to(state.former[entry.at(0).get<Endpoint>()]);
         if (document.contains("configuration")) {
             document.at("revision").get_to(state.routesRevision);
             state.routes = configurationFrom(document.at("configuration"));
--- a/mesh/flows_test.cpp
+++ b/mesh/flows_test.cpp
@@ -245,7 +245,7 @@
     this->world.restartAgent("a1");
     this->world.restartBalancer("b2");
     this->world.run(2s);
-    this->world.request("b2", callerOf(1), booking);
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
 }
 
