List the known balancers once per housekeeping

Cause (last reading of the change): the list of peers was built anew for each entry while entries of forgotten peers were removed.

Change: it is built once before the loop; behaviour is the same.

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -306,8 +306,8 @@
         this->nextHousekeeping = now + housekeepingInterval;
         this->directory.forgetSilent(now);
         this->peers.forgetSilent(now);
+        const std::vector<Endpoint> known = this->peers.all();
         std::erase_if(this->peerStates, [&](const auto &entry) {
-            const std::vector<Endpoint> known = this->peers.all();
             return std::find(known.begin(), known.end(), entry.first) == known.end();
         });
         this->chooseReaders(now);
