Weigh a server's capacity by its mean latency

Cause: the announced capacity of an agent came from the latency baseline, which stays near the fastest responses (it falls by an eighth and rises by a thirty-second), so that overload shows against it. With response times that vary, 200 ms read as 176 to 190 ms, while a fast server's 50 ms read as 51; steps of 19% rounded the rest up. Slow servers were announced up to 20% too strong, and the choice between two homes can't level that: the second home of a bucket is a slow server more often than its weight says.

Test: admission/weightFollowsTheMeanLatency failed before (76 to 23 instead of 4 to 1).

--- a/core/admission_test.cpp
+++ b/core/admission_test.cpp
@@ -314,4 +314,21 @@
     BOOST_TEST(!weight.update(5, baseline, now + 90s));
 }
 
+// Response times that vary must not make a server look faster than it is: a slow server has fewer
+// samples, and its error would decide the balance.
+BOOST_AUTO_TEST_CASE(weightFollowsTheMeanLatency)
+{
+    const auto weightOf = [](Duration latency, Duration spread) {
+        CapacityWeight weight;
+        LatencyBaseline baseline;
+        for (int i = 0; i < 400; ++i)
+            baseline.add(latency + (i * 7 % 5 - 2) * spread / 2);
+        weight.update(5, baseline, TimePoint{ 1000s });
+        return double(weight.value());
+    };
+    const double fast = weightOf(50ms, 0ms);
+    BOOST_TEST(fast / weightOf(200ms, 0ms) == 4.0, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(fast / weightOf(200ms, 80ms) == 4.0, boost::test_tools::tolerance(0.05));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/core/capacityweight.cpp
+++ b/core/capacityweight.cpp
@@ -17,7 +17,7 @@
     const bool isFirst = !this->step;
     if (!isFirst && now - this->changedAt < changeInterval)
         return std::nullopt;
-    const Duration latency = baseline.isKnown() ? baseline.latency() : Duration(initialLatency);
+    const Duration latency = baseline.isKnown() ? baseline.mean() : Duration(initialLatency);
     const double seconds = std::max(std::chrono::duration<double>(latency).count(), 1e-6);
     const double exact = std::log2(double(slots) / seconds / unitPerSecond) * stepsPerOctave;
     if (!isFirst && std::abs(exact - *this->step) < hysteresis)
--- a/core/capacityweight.h
+++ b/core/capacityweight.h
@@ -7,7 +7,7 @@
 #include "core/latencybaseline.h"
 #include "core/types.h"
 
-// The capacity that an agent announces: the requests per second that its slots complete at baseline
+// The capacity that an agent announces: the requests per second that its slots complete at mean
 // latency, in units of 1.25 per second.
 //
 //     if (auto changed = weight.update(slots, admission.baseline(), now))
@@ -20,11 +20,12 @@
 public:
     // A change of weight moves buckets and makes every agent of the service report its holdings.
     static constexpr std::chrono::seconds changeInterval{ 30 };
-    // Steps of a quarter octave (19%). The balancers' choice between two home agents levels the
-    // rest.
-    static constexpr double stepsPerOctave = 4;
-    // Hysteresis in steps keeps a latency between two steps from changing the weight.
-    static constexpr double hysteresis = 0.75;
+    // Steps of an eighth of an octave (9%), under the tenth by which loads may differ. The
+    // balancers' choice between two home agents can't make up for a wrong weight: the second home
+    // of a bucket is a slow server more often than its weight says.
+    static constexpr double stepsPerOctave = 8;
+    // Steps. Keeps a latency between two steps from changing the weight.
+    static constexpr double hysteresis = 1.5;
     // Assumed until the baseline is known.
     static constexpr std::chrono::milliseconds initialLatency{ 100 };
 
