Notice a backend server that is gone without a word

The missing agents were those whose servers had been released: their machines came back without a server, so the agents could neither vouch for a flow nor rule it out, and when the platform stopped them they vanished as lost.

Ruled out: slow reports (the agents were heard, or had been stopped by SIGTERM), the limit on questions (the log shows answers of all other agents).

Change: ServerWatch. When packets go unanswered for 200 ms, when a new agent hears no server, or when it is told to stop, the agent connects to its server. Two refusals in a row, with no sign in between, prove that nobody listens: the server counts as ended, its flows are reset, searches need not wait for the agent. Silence and a connection prove nothing. A crashed server is noticed the same way, before its callers' deadlines.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -20,6 +20,7 @@
 void Agent::start(TimePoint now, Sink &sink)
 {
     this->startedAt = now;
+    this->watch.start(now);
     this->balancers.addSeeds(this->options.seeds, now);
     this->nextExpiry = now + expiryInterval;
     sink.log(Level::Info, "agent_started",
@@ -72,6 +73,7 @@
                    { "sequence", std::to_string(heartbeat.sequence) } });
         return true;
     }
+    this->watch.onSign();
     if (verdict == HeartbeatVerdict::NewServer)
         this->endAllFlows("server_replaced", now, sink);
     const bool isChanged = before != this->phase() || runBefore != this->record.incarnation()
@@ -166,9 +168,31 @@
     return now - std::max(this->startedAt, this->balancers.lastHeard()) > directoryDelay;
 }
 
+void Agent::onServerCheck(ConnectOutcome outcome, TimePoint now, Sink &sink)
+{
+    if (!this->watch.onOutcome(outcome, now))
+        return;
+    sink.log(Level::Warning, "server_gone",
+             { { "server", toString(this->options.server) },
+               { "phase", phaseNames[std::size_t(this->record.phase())] },
+               { "flows", std::to_string(this->flows.openCount()) } });
+    this->endAllFlows("server_gone", now, sink);
+    this->reportSoon(now);
+}
+
+ServerPhase Agent::serverPhase() const
+{
+    return this->watch.isGone() ? ServerPhase::Ended : this->record.phase();
+}
+
+bool Agent::knowsAllFlows() const
+{
+    return this->record.beganAfterAgent() || this->serverPhase() == ServerPhase::Ended;
+}
+
 ServerPhase Agent::phase() const
 {
-    const ServerPhase phase = this->record.phase();
+    const ServerPhase phase = this->serverPhase();
     return this->isStopping && phase != ServerPhase::Ended ? ServerPhase::Paused : phase;
 }
 
@@ -211,7 +235,7 @@
         .responseBytes = load.responseBytes(),
         .interval = this->interval(),
         .holdings = this->flows.holdings(),
-        .knowsAllFlows = this->record.beganAfterAgent(),
+        .knowsAllFlows = this->knowsAllFlows(),
     };
     const std::vector<std::uint8_t> bytes = encode(report);
     for (const Endpoint &balancer : this->balancers.all())
@@ -224,7 +248,7 @@
 
 TimePoint Agent::nextTimer() const
 {
-    TimePoint next = std::min(this->nextReport, this->nextExpiry);
+    TimePoint next = std::min({ this->nextReport, this->nextExpiry, this->watch.nextCheck() });
     if (this->mustEndFlows)
         next = std::min(next, this->deregisteredAt + exitDelay + std::chrono::milliseconds(1));
     return this->isStopping ? std::min(next, this->nextStopCheck) : next;
@@ -247,7 +271,7 @@
         return;
     this->nextStopCheck = now + stopCheckInterval;
     const bool isQuiet =
-            this->flows.load().inProgress() == 0 || this->record.phase() == ServerPhase::Ended;
+            this->flows.load().inProgress() == 0 || this->serverPhase() == ServerPhase::Ended;
     this->stopped = isQuiet || now - this->stoppingAt >= stopLimit;
 }
 
@@ -258,6 +282,7 @@
     this->isStopping = true;
     this->stoppingAt = now;
     this->nextStopCheck = now + stopDelay;
+    this->watch.onStop(now);
     sink.log(Level::Info, "stop_requested",
              { { "flows", std::to_string(this->flows.openCount()) },
                { "in_progress", std::to_string(this->flows.load().inProgress()) } });
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -15,6 +15,7 @@
 #include "mesh/segment.h"
 #include "mesh/serverflows.h"
 #include "mesh/serverrecord.h"
+#include "mesh/serverwatch.h"
 #include "mesh/sink.h"
 
 // The process beside one backend server. It is the only way to the server, so it alone decides
@@ -82,6 +83,11 @@
     // No balancer has been heard for so long that the seeds must be wrong.
     bool needsDirectory(TimePoint now) const;
 
+    // True when the agent wants to know whether anybody listens at the server's address; the
+    // outcome must follow.
+    bool takeServerCheck(TimePoint now) { return this->watch.takeCheck(now); }
+    void onServerCheck(ConnectOutcome outcome, TimePoint now, Sink &sink);
+
     TimePoint nextTimer() const;
     void onTimer(TimePoint now, Sink &sink);
     // Stops taking flows; ends when no request is in progress, after stopLimit at the latest.
@@ -171,13 +177,20 @@
     bool hasFlowCountChanged() const;
     bool isOutOfService(TimePoint now) const;
     bool hasServerExited(TimePoint now) const;
+    // What the server says of itself, unless it is gone without a word.
+    ServerPhase serverPhase() const;
+    // What balancers are told.
     ServerPhase phase() const;
+    // No flow from before the agent's start can live.
+    bool knowsAllFlows() const;
+    void giveToServer(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink);
     std::chrono::milliseconds interval() const;
 
     AgentOptions options;
     ServiceId service;
     PeerSet balancers;
     ServerRecord record;
+    ServerWatch watch;
     ServerFlows flows;
     ColdMeter coldMeter;
     std::unordered_map<FlowKey, Probe, FlowKeyHash> probes;
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -40,7 +40,7 @@
         return Decline{ "agent_stopping", false };
     if (this->isEvacuated)
         return Decline{ "zone_evacuated", false };
-    switch (this->record.phase()) {
+    switch (this->serverPhase()) {
     case ServerPhase::Ready:
         break;
     case ServerPhase::Draining:
@@ -108,8 +108,7 @@
         flow->remaining = opening.remaining;
     this->coldMeter.add(now);
     ++this->counts.admitted;
-    ++this->counts.toServer;
-    sink.toServer(segment.bytes);
+    this->giveToServer(segment.bytes, now, sink);
     if (!isCopy && this->hasFlowCountChanged())
         this->reportSoon(now);
 }
@@ -180,22 +179,19 @@
     }
     flow->balancer = frame.replyTo;
     this->flows.onCaller(*flow, segment, now);
-    ++this->counts.toServer;
-    sink.toServer(segment.bytes);
+    this->giveToServer(segment.bytes, now, sink);
 }
 
 void Agent::onUnknown(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink)
 {
-    const ServerPhase current = this->record.phase();
-    if (this->record.beganAfterAgent() || current == ServerPhase::Ended) {
+    if (this->knowsAllFlows()) {
         ++this->counts.unknownFlow;
         this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
         return;
     }
     // The server may hold the flow from before the agent's start. If not, it returns the packet.
     this->probes[segment.key] = { .balancer = frame.replyTo, .sentAt = now };
-    ++this->counts.toServer;
-    sink.toServer(segment.bytes);
+    this->giveToServer(segment.bytes, now, sink);
 }
 
 void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
@@ -204,10 +200,7 @@
     const bool isOwner = flow != nullptr && (flow->isOpen || flow->isAcknowledgedBy(segment));
     Verdict verdict = Verdict::Owner;
     if (!isOwner)
-        verdict = flow != nullptr || this->record.beganAfterAgent()
-                                  || this->record.phase() == ServerPhase::Ended
-                          ? Verdict::UnknownFlow
-                          : Verdict::Unsure;
+        verdict = flow != nullptr || this->knowsAllFlows() ? Verdict::UnknownFlow : Verdict::Unsure;
     this->reply(verdict, segment.key, frame.replyTo, sink);
 }
 
@@ -219,6 +212,7 @@
         sink.log(Level::Warning, "packet_malformed", { { "from", "server" } });
         return;
     }
+    this->watch.onSign();
     if (segment->isBounced) {
         this->onBounce(*segment, now, sink);
         return;
@@ -301,9 +295,18 @@
     sink.toNode(balancer, encodeReply(reply, buffer), {});
 }
 
+void Agent::giveToServer(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink)
+{
+    ++this->counts.toServer;
+    this->watch.onHanded(now);
+    sink.toServer(packet);
+}
+
 bool Agent::hasServerExited(TimePoint now) const
 {
-    return this->record.phase() == ServerPhase::Ended && now - this->deregisteredAt > exitDelay;
+    const bool hasLeft =
+            this->record.phase() == ServerPhase::Ended && now - this->deregisteredAt > exitDelay;
+    return hasLeft || this->watch.isGone();
 }
 
 bool Agent::isOutOfService(TimePoint now) const
--- /dev/null
+++ b/mesh/gone_test.cpp
@@ -0,0 +1,116 @@
+#include <boost/test/unit_test.hpp>
+
+#include "mesh/meshworld_test.h"
+
+using namespace cactusdeck;
+using namespace cactusdeck::mesh;
+using namespace cactusdeck::mesh::test;
+
+// Backend servers that are gone without a word, and agents that stay or stop without them.
+
+namespace {
+
+const Endpoint booking{ 0xC6120001u, 443 };
+
+struct Fixture
+{
+    Fixture()
+    {
+        this->world.addBalancer("b1", "zone-a");
+        this->world.addAgent("a1", "zone-a", "booking");
+        this->world.addAgent("a2", "zone-b", "booking");
+        this->world.publish(configurationOf({ { booking, "booking" } }));
+        this->world.run(3s);
+    }
+
+    // All machines lose power at once; the server of a2 does not start again.
+    void loseEverything()
+    {
+        this->world.restartServer("a1", "server-a1-again");
+        this->world.agent("a2").server = Server{ .isUp = false };
+        this->world.restartAgent("a1");
+        this->world.restartAgent("a2");
+        this->world.restartBalancer("b1");
+    }
+
+    World world;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(gone, Fixture)
+
+BOOST_AUTO_TEST_CASE(tellsACallerWhoseServerCrashed)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    this->world.agent("a1").server.isUp = false;
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 500ms));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+    // The balancer gives new flows to the other server.
+    BOOST_TEST(this->world.openFlow("b1", callerOf(2), booking) == "a2");
+}
+
+BOOST_AUTO_TEST_CASE(doesNotResetWhileAServerIsOnlySilent)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    Server &server = this->world.agent("a1").server;
+    server.isUp = false;
+    server.isDark = true;
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 5s));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    server.isUp = true;
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+}
+
+BOOST_AUTO_TEST_CASE(takesFlowsOfTheNextRun)
+{
+    this->world.agent("a1").server.isUp = false;
+    this->world.fromCaller("b1", opening(callerOf(1), booking));
+    this->world.run(1s);
+    this->world.restartServer("a1", "server-a1-again");
+    this->world.run(1s);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(2), booking) == "a1");
+    BOOST_TEST(this->world.request("b1", callerOf(2), booking));
+}
+
+BOOST_AUTO_TEST_CASE(anAgentWithoutServerDoesNotHoldUpSearches)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->loseEverything();
+    this->world.run(1500ms);
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 300ms));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(anAgentThatStopsWithoutServerDoesNotHoldUpSearches)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->loseEverything();
+    this->world.run(100ms);
+    World::AgentNode &stopping = this->world.agent("a2");
+    stopping.agent->stop(this->world.now, *stopping.sink);
+    this->world.run(500ms);
+    BOOST_TEST(stopping.agent->isStopped());
+    stopping.isUp = false;
+    this->world.run(1s);
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 300ms));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+}
+
+// The agent alone is stopped, and its server lives.
+BOOST_AUTO_TEST_CASE(anAgentThatStopsBesideItsServerLeavesFlowsAlone)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    World::AgentNode &stopping = this->world.agent("a1");
+    stopping.agent->stop(this->world.now, *stopping.sink);
+    this->world.run(500ms);
+    stopping.isUp = false;
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 2s));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    this->world.restartAgent("a1");
+    this->world.run(200ms);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -256,6 +256,16 @@
                             this->now, *node.sink);
 }
 
+void World::checkServer(AgentNode &node)
+{
+    if (!node.isUp || !node.agent->takeServerCheck(this->now))
+        return;
+    const ConnectOutcome outcome = node.server.isUp     ? ConnectOutcome::Connected
+                                   : node.server.isDark ? ConnectOutcome::Silent
+                                                        : ConnectOutcome::Refused;
+    node.agent->onServerCheck(outcome, this->now, *node.sink);
+}
+
 void World::askStore(const std::string &name)
 {
     BalancerNode &node = *this->balancers.at(name);
@@ -326,6 +336,7 @@
             this->beat(name);
         if (node->isUp && this->now >= node->agent->nextTimer())
             node->agent->onTimer(this->now, *node->sink);
+        this->checkServer(*node);
     }
 }
 
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -46,6 +46,7 @@
     std::int64_t startedAt = 1;
     std::uint64_t sequence = 0;
     bool isUp = true;
+    bool isDark = false; // when down: connections are not refused, but time out
     bool isDraining = false;
     bool isFull = false;
     std::chrono::milliseconds coldFor{ 0 };
@@ -144,6 +145,7 @@
     void startAgent(const std::string &name);
     void step();
     void beat(const std::string &name);
+    void checkServer(AgentNode &node);
     void askStore(const std::string &name);
     void fetch(const std::string &name);
     void deliver(const Delivery &delivery);
--- /dev/null
+++ b/mesh/serverwatch_test.cpp
@@ -0,0 +1,77 @@
+#include "mesh/serverwatch.h"
+
+#include <boost/test/unit_test.hpp>
+
+BOOST_AUTO_TEST_SUITE(serverwatch)
+
+using namespace cactusdeck;
+using namespace cactusdeck::mesh;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Runs the checks that are due until the time, all with the same outcome; returns their number.
+int runChecks(ServerWatch &watch, TimePoint &now, TimePoint until, ConnectOutcome outcome)
+{
+    int checks = 0;
+    for (; now < until; now += 5ms) {
+        if (!watch.takeCheck(now))
+            continue;
+        ++checks;
+        watch.onOutcome(outcome, now);
+    }
+    return checks;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(refusedTwiceAfterUnansweredPacketsMeansGone)
+{
+    ServerWatch watch;
+    TimePoint now{ 1h };
+    watch.start(now);
+    watch.onSign();
+    BOOST_TEST(runChecks(watch, now, now + 1s, ConnectOutcome::Refused) == 0);
+    watch.onHanded(now);
+    const TimePoint handed = now;
+    BOOST_TEST(runChecks(watch, now, handed + 250ms, ConnectOutcome::Refused) == 1);
+    BOOST_TEST(!watch.isGone());
+    BOOST_TEST(runChecks(watch, now, handed + 400ms, ConnectOutcome::Refused) == 1);
+    BOOST_TEST(watch.isGone());
+    // Another run has started.
+    watch.onSign();
+    BOOST_TEST(!watch.isGone());
+}
+
+BOOST_AUTO_TEST_CASE(silenceAndConnectionsProveNothing)
+{
+    for (const ConnectOutcome outcome : { ConnectOutcome::Silent, ConnectOutcome::Connected }) {
+        ServerWatch watch;
+        TimePoint now{ 1h };
+        watch.start(now);
+        const int checks = runChecks(watch, now, now + 30s, outcome);
+        BOOST_TEST(!watch.isGone());
+        BOOST_TEST(checks > 3);
+        BOOST_TEST(checks < 9);
+        // A refusal between two other outcomes counts alone.
+        BOOST_TEST(!watch.onOutcome(ConnectOutcome::Refused, now));
+        BOOST_TEST(!watch.onOutcome(outcome, now));
+        BOOST_TEST(!watch.onOutcome(ConnectOutcome::Refused, now));
+        BOOST_TEST(!watch.isGone());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(signDuringACheckOutweighsItsOutcome)
+{
+    ServerWatch watch;
+    TimePoint now{ 1h };
+    watch.start(now);
+    BOOST_TEST(watch.takeCheck(now + 300ms));
+    BOOST_TEST(!watch.onOutcome(ConnectOutcome::Refused, now + 301ms));
+    BOOST_TEST(watch.takeCheck(now + 401ms));
+    watch.onSign();
+    BOOST_TEST(!watch.onOutcome(ConnectOutcome::Refused, now + 402ms));
+    BOOST_TEST(!watch.isGone());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/meshd/agentdaemon.cpp
+++ b/meshd/agentdaemon.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view metricsTarget = "/metrics";
+// The server is on the same machine; whoever doesn't answer in this time says nothing.
+constexpr std::chrono::milliseconds serverCheckTimeout{ 300 };
 
 class AgentDaemon
 {
@@ -70,7 +72,7 @@
                                                              this->settings, this->shell),
                                                  now, this->shell);
                     },
-            .afterEvent = [](TimePoint) {},
+            .afterEvent = [this](TimePoint now) { this->checkServer(now); },
             .onHttp = [this](const HttpRequest &request) { return this->answer(request); },
             .needsDirectory = [this](TimePoint now) { return this->agent.needsDirectory(now); },
             .onDirectory =
@@ -80,6 +82,16 @@
         };
     }
 
+    void checkServer(TimePoint now)
+    {
+        if (!this->agent.takeServerCheck(now))
+            return;
+        this->shell.checkPort(this->settings.server, serverCheckTimeout,
+                              [this](mesh::ConnectOutcome outcome, TimePoint at) {
+                                  this->agent.onServerCheck(outcome, at, this->shell);
+                              });
+    }
+
     HttpAnswer answer(const HttpRequest &request)
     {
         const TimePoint now = Shell::now();
--- a/meshd/shell.cpp
+++ b/meshd/shell.cpp
@@ -1,5 +1,9 @@
 #include "meshd/shell.h"
 
+#include <memory>
+
+#include <boost/beast/core/tcp_stream.hpp>
+
 #include <algorithm>
 #include <csignal>
 #include <ctime>
@@ -162,6 +166,23 @@
              });
 }
 
+void Shell::checkPort(Endpoint endpoint, Duration timeout,
+                      std::function<void(mesh::ConnectOutcome, TimePoint)> callback)
+{
+    auto stream = std::make_shared<boost::beast::tcp_stream>(this->io);
+    stream->expires_after(timeout);
+    stream->async_connect(
+            asio::ip::tcp::endpoint(asio::ip::address_v4(endpoint.address), endpoint.port),
+            [this, stream, callback = std::move(callback)](boost::system::error_code error) {
+                const bool isRefused = error == asio::error::connection_refused;
+                callback(!error      ? mesh::ConnectOutcome::Connected
+                         : isRefused ? mesh::ConnectOutcome::Refused
+                                     : mesh::ConnectOutcome::Silent,
+                         now());
+                this->finishEvent();
+            });
+}
+
 void Shell::finishEvent()
 {
     const TimePoint at = now();
--- a/meshd/shell.h
+++ b/meshd/shell.h
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "mesh/serverwatch.h"
 #include "mesh/sink.h"
 #include "meshd/http.h"
 #include "meshd/logwriter.h"
@@ -73,6 +74,9 @@
 
     // A call whose answer arrives as an event.
     void call(HttpCall httpCall, std::function<void(unsigned, std::string, TimePoint)> callback);
+    // Tries to connect, and closes the connection at once.
+    void checkPort(Endpoint endpoint, Duration timeout,
+                   std::function<void(mesh::ConnectOutcome, TimePoint)> callback);
     static TimePoint now() { return Clock::now(); }
     const LogWriter &logWriter() const { return this->writer; }
 
