Take a server that was never heard and can't be reached for gone

Change: two silent checks count as gone, but only for a server that this agent has never heard. A server that was heard may be cut off and return with its flows; there silence goes on to prove nothing, as its test says. A server that lives accepts the connection even while it is slow.

--- a/mesh/gone_test.cpp
+++ b/mesh/gone_test.cpp
@@ -83,6 +83,16 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(anAgentWhoseServerWasNeverHeardDoesNotHoldUpSearches)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->loseEverything();
+    this->world.agent("a2").server.isDark = true;
+    this->world.run(2500ms);
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 300ms));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(anAgentThatStopsWithoutServerDoesNotHoldUpSearches)
 {
     BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
--- a/mesh/serverwatch.cpp
+++ b/mesh/serverwatch.cpp
@@ -20,6 +20,8 @@
     this->due.reset();
     this->repeat = firstRepeat;
     this->refusals = 0;
+    this->silences = 0;
+    this->hasHeard = true;
     this->gone = false;
 }
 
@@ -42,7 +44,10 @@
     this->isChecking = false;
     if (!this->due)
         return false; // the server has given a sign meanwhile
-    if (outcome == ConnectOutcome::Refused && ++this->refusals >= refusalsForGone) {
+    this->refusals = outcome == ConnectOutcome::Refused ? this->refusals + 1 : 0;
+    this->silences = outcome == ConnectOutcome::Silent ? this->silences + 1 : 0;
+    if (this->refusals >= refusalsForGone
+        || (!this->hasHeard && this->silences >= silencesForGone)) {
         this->due.reset();
         this->gone = true;
         return true;
@@ -51,7 +56,6 @@
         this->due = now + confirmDelay;
         return false;
     }
-    this->refusals = 0;
     this->due = now + this->repeat;
     this->repeat = std::min(this->repeat * 2, lastRepeat);
     return false;
--- a/mesh/serverwatch.h
+++ b/mesh/serverwatch.h
@@ -9,7 +9,9 @@
 // Whether the backend server beside an agent is there at all. A server that crashed says nothing,
 // and neither does one that never started again after its machine lost power; callers of its flows
 // would wait until their deadlines. As soon as packets go unanswered the agent tries to connect to
-// the server: a refused connection proves that nobody listens, silence proves nothing.
+// the server: a refused connection proves that nobody listens. Silence proves nothing of a server
+// that was heard before, since it may be cut off and return with its flows; one that was never
+// heard and whose own machine can't reach it is not there.
 //
 //     watch.onHanded(now);                    // the server has been given a packet
 //     watch.onSign(now);                      // a packet or a heartbeat of the server
@@ -45,6 +47,9 @@
     // The second look, so that a server between two runs of its listener is not taken for gone.
     static constexpr std::chrono::milliseconds confirmDelay{ 100 };
     static constexpr int refusalsForGone = 2;
+    // Of a server that was not heard since the start; with the timeouts 1.4 s, more than the
+    // interval of heartbeats (1.2 s).
+    static constexpr int silencesForGone = 2;
     // While nothing is learned.
     static constexpr std::chrono::milliseconds firstRepeat{ 500 };
     static constexpr std::chrono::milliseconds lastRepeat{ 8000 };
@@ -52,6 +57,8 @@
     std::optional<TimePoint> due;
     std::chrono::milliseconds repeat = firstRepeat;
     int refusals = 0;
+    int silences = 0;
+    bool hasHeard = false;
     bool isChecking = false;
     bool gone = false;
 };
