Find the flows of restarted agents along chains of agents

The log shows 1,400 searches in two seconds that ended at their first stage with 39 to 48 of 52 agents missing: each flow cost a question to every agent and then its packet to every agent of the service, about 160 datagrams there and back, on balancers with 0.09 cores and 10 Mbit/s. The limit of 600 questions a second did not hold, since agents that can't rule a flow out were asked in any case.

Ruled out: gone servers (at most 5 of the missing agents), slow agents (0.0066 cores in the mean).

Change: once the limit is used up, agents that can't know are not asked. The packet goes to the first of a chain of eight; each gives it to its server, and what the server returns goes to the next. The last one answers for the chain. Each try begins at another agent, since a chain ends at an agent that has stopped. Agents of evacuated domains pass the packet on.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -135,6 +135,7 @@
     {
         Endpoint balancer;
         TimePoint sentAt;
+        std::vector<Endpoint> remaining; // agents that get the packet if the server returns it
     };
 
     // Why the server gets no new flow now.
@@ -160,6 +161,10 @@
     // The flow's server has exited or does not hold the flow any more: nobody does.
     void endFlow(const Segment &segment, const char *reason, TimePoint now, Sink &sink);
     void onUnknown(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink);
+    // The server beside this agent doesn't hold the flow: the next agent of the chain is asked, or
+    // the balancer is told.
+    void continueProbe(const std::vector<Endpoint> &remaining, Endpoint balancer,
+                       const Segment &segment, Sink &sink);
     void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
     void onBounce(const Segment &segment, TimePoint now, Sink &sink);
     void onNotice(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -152,6 +152,11 @@
                           Sink &sink)
 {
     if (this->isOutOfService(now)) {
+        // Flows of this server are given up, those of the next agents are not.
+        if (const std::vector<Endpoint> remaining = hopsAfter(frame); !remaining.empty()) {
+            this->continueProbe(remaining, frame.replyTo, segment, sink);
+            return;
+        }
         ++this->counts.droppedEvacuated;
         sink.log(Level::Info, "packet_dropped",
                  { { "flow", toString(segment.key) }, { "reason", "zone_evacuated" } });
@@ -169,7 +174,7 @@
     if (!flow->isOpen) {
         if (!flow->isAcknowledgedBy(segment)) {
             // The caller has chosen the answer of another server.
-            this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
+            this->continueProbe(hopsAfter(frame), frame.replyTo, segment, sink);
             return;
         }
         flow->isOpen = true;
@@ -186,14 +191,33 @@
 {
     if (this->knowsAllFlows()) {
         ++this->counts.unknownFlow;
-        this->reply(Verdict::UnknownFlow, segment.key, frame.replyTo, sink);
+        this->continueProbe(hopsAfter(frame), frame.replyTo, segment, sink);
         return;
     }
     // The server may hold the flow from before the agent's start. If not, it returns the packet.
-    this->probes[segment.key] = { .balancer = frame.replyTo, .sentAt = now };
+    this->probes[segment.key] = { .balancer = frame.replyTo,
+                                  .sentAt = now,
+                                  .remaining = hopsAfter(frame) };
     this->giveToServer(segment.bytes, now, sink);
 }
 
+void Agent::continueProbe(const std::vector<Endpoint> &remaining, Endpoint balancer,
+                          const Segment &segment, Sink &sink)
+{
+    if (remaining.empty()) {
+        this->reply(Verdict::UnknownFlow, segment.key, balancer, sink);
+        return;
+    }
+    ForwardFrame frame{ .flags = frameflag::probe,
+                        .service = this->service,
+                        .replyTo = balancer,
+                        .hopCount = std::uint8_t(std::min(remaining.size(), maxHops)) };
+    for (std::size_t i = 0; i < frame.hopCount; ++i)
+        frame.hops[i].agent = remaining[i];
+    FrameBuffer buffer;
+    sink.toNode(remaining.front(), encodeForward(frame, buffer), segment.bytes);
+}
+
 void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
 {
     const ServerFlow *flow = this->flows.find(segment.key);
@@ -257,8 +281,12 @@
         return;
     }
     if (const auto it = this->probes.find(segment.key); it != this->probes.end()) {
-        this->reply(Verdict::UnknownFlow, segment.key, it->second.balancer, sink);
+        const Probe probe = std::move(it->second);
         this->probes.erase(it);
+        const std::vector<std::uint8_t> packet = this->options.codec->restored(segment);
+        Segment next = segment;
+        next.bytes = packet;
+        this->continueProbe(probe.remaining, probe.balancer, next, sink);
         return;
     }
     if (flow == nullptr || !flow->isOpen || flow->hasEnded)
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -56,6 +56,7 @@
     std::uint64_t forwarded = 0; // to the remembered agent of their flow
     std::uint64_t searches = 0; // flows
     std::uint64_t questions = 0; // to agents, about flows
+    std::uint64_t probes = 0; // given to agents whose servers may hold the flow
     std::uint64_t searchesFound = 0; // flows
     std::uint64_t searchesExpired = 0; // flows
     std::uint64_t resetNoRoute = 0;
@@ -168,13 +169,24 @@
     void onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink);
     void probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink);
     void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    // Agents to be asked that are not waited for, and those that are probed in chains.
+    struct SearchExtras
+    {
+        std::vector<AgentIndex> silent;
+        std::vector<AgentIndex> chained;
+    };
     // Whom to ask for a flow, and who is ruled out by reports.
-    SearchPlan planSearch(const FlowKey &key, std::vector<AgentIndex> &silent, TimePoint now);
+    SearchPlan planSearch(const FlowKey &key, SearchExtras &extras, TimePoint now);
+    void planChains(const FlowKey &key, SearchPlan &plan, SearchExtras &extras,
+                    TimePoint now) const;
     void ask(AgentIndex agent, const Segment &segment, Sink &sink);
     // Does what the stage of a search asks for.
     void follow(std::uint64_t flowHash, SearchStage stage, TimePoint now, Sink &sink);
     bool mayHold(const FlowKey &key, AgentIndex agent) const;
     void forward(const Segment &segment, AgentIndex agent, std::uint8_t flags, Sink &sink);
+    // To the first agent; the others are its next hops.
+    void forward(const Segment &segment, std::span<const AgentIndex> agents, std::uint8_t flags,
+                 Sink &sink);
     void reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink);
     void onReply(const ReplyFrame &reply, TimePoint now, Sink &sink);
     void onHello(const BalancerHello &hello, Endpoint from, TimePoint now, Sink &sink);
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -209,15 +209,22 @@
 
 void Balancer::forward(const Segment &segment, AgentIndex index, std::uint8_t flags, Sink &sink)
 {
-    const AgentDirectory::Agent &agent = this->directory.at(index);
+    this->forward(segment, std::span(&index, 1), flags, sink);
+}
+
+void Balancer::forward(const Segment &segment, std::span<const AgentIndex> agents,
+                       std::uint8_t flags, Sink &sink)
+{
+    const AgentDirectory::Agent &first = this->directory.at(agents.front());
     ForwardFrame frame{ .flags = flags,
-                        .service = serviceIdOf(agent.report.service),
+                        .service = serviceIdOf(first.report.service),
                         .configuration = this->fleet.configurationRevision(),
                         .replyTo = this->options.mesh,
-                        .hopCount = 1 };
-    frame.hops[0].agent = agent.endpoint;
+                        .hopCount = std::uint8_t(agents.size()) };
+    for (std::size_t i = 0; i < agents.size(); ++i)
+        frame.hops[i].agent = this->directory.at(agents[i]).endpoint;
     FrameBuffer buffer;
-    sink.toNode(agent.endpoint, encodeForward(frame, buffer), segment.bytes);
+    sink.toNode(first.endpoint, encodeForward(frame, buffer), segment.bytes);
 }
 
 void Balancer::reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink)
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 // How a balancer finds the agent of a flow that it does not remember.
 
 namespace cactusdeck::mesh {
@@ -12,9 +14,9 @@
         search->hold(segment.bytes);
         return;
     }
-    std::vector<AgentIndex> silent;
-    const SearchPlan plan = this->planSearch(segment.key, silent, now);
-    if (plan.asked.empty() && plan.unconfirmed.empty() && silent.empty()) {
+    SearchExtras extras;
+    const SearchPlan plan = this->planSearch(segment.key, extras, now);
+    if (plan.asked.empty() && plan.unconfirmed.empty() && extras.silent.empty()) {
         ++this->counts.dropped;
         sink.log(Level::Warning, "packet_dropped",
                  { { "flow", toString(segment.key) }, { "reason", "no_agent_known" } });
@@ -29,14 +31,22 @@
     }
     ++this->counts.searches;
     search->hold(segment.bytes);
-    for (const AgentIndex agent : plan.asked)
-        this->ask(agent, segment, sink);
+    for (const AgentIndex agent : plan.asked) {
+        if (std::find(extras.chained.begin(), extras.chained.end(), agent) == extras.chained.end())
+            this->ask(agent, segment, sink);
+    }
     // Silent agents are not waited for.
-    for (const AgentIndex agent : silent)
+    for (const AgentIndex agent : extras.silent)
         this->ask(agent, segment, sink);
+    for (std::span<const AgentIndex> rest = extras.chained; !rest.empty();) {
+        const std::size_t length = std::min(rest.size(), maxHops);
+        ++this->counts.probes;
+        this->forward(segment, rest.first(length), frameflag::probe, sink);
+        rest = rest.subspan(length);
+    }
 }
 
-SearchPlan Balancer::planSearch(const FlowKey &key, std::vector<AgentIndex> &silent, TimePoint now)
+SearchPlan Balancer::planSearch(const FlowKey &key, SearchExtras &extras, TimePoint now)
 {
     // Of all services: the flow may be from before the route got its present ones.
     const std::vector<AgentIndex> holders = this->directory.holders();
@@ -49,16 +59,39 @@
         if (!this->directory.isResponding(entry, now)) {
             plan.isComplete = false;
             if (isAskingAll || !isRuledOut)
-                silent.push_back(agent);
+                extras.silent.push_back(agent);
         } else if (isRuledOut && !isAskingAll) {
             plan.unconfirmed.push_back(agent);
-        } else {
+        } else if (isAskingAll || entry.report.knowsAllFlows) {
             plan.asked.push_back(agent);
+        } else if (this->mayHold(key, agent)) {
+            extras.chained.push_back(agent);
+        } else {
+            plan.isComplete = false;
         }
     }
+    this->planChains(key, plan, extras, now);
     return plan;
 }
 
+// Agents that restarted after their servers can't answer; only the servers can. To ask each agent,
+// and then to give the packet to each, takes a hundred datagrams a flow from a balancer that, when
+// everything has restarted, looks for all its flows at once. Along a chain the agents do the work.
+void Balancer::planChains(const FlowKey &key, SearchPlan &plan, SearchExtras &extras,
+                          TimePoint now) const
+{
+    std::vector<AgentIndex> &chained = extras.chained;
+    if (chained.empty())
+        return;
+    // Each try begins elsewhere, since a chain ends at an agent that has stopped.
+    const std::uint64_t turn = hashOf(key) ^ std::uint64_t(now.time_since_epoch().count());
+    const auto first = std::ptrdiff_t(XXH3_64bits(&turn, sizeof turn) % chained.size());
+    std::rotate(chained.begin(), chained.begin() + first, chained.end());
+    plan.hasChains = true;
+    for (std::size_t begin = 0; begin < chained.size(); begin += maxHops)
+        plan.asked.push_back(chained[std::min(begin + maxHops, chained.size()) - 1]);
+}
+
 void Balancer::ask(AgentIndex agent, const Segment &segment, Sink &sink)
 {
     ++this->counts.questions;
@@ -120,6 +153,7 @@
         if (this->mayHold(segment->key, agent))
             agents.push_back(agent);
     }
+    this->counts.probes += agents.size();
     for (const AgentIndex agent : agents)
         this->forward(*segment, agent, frameflag::probe, sink);
     search.probe(std::move(agents), now);
--- a/mesh/flowsearch.cpp
+++ b/mesh/flowsearch.cpp
@@ -7,7 +7,7 @@
 FlowSearch::FlowSearch(const FlowKey &searched, SearchPlan searchPlan, TimePoint begun)
     : flow(searched)
     , plan(std::move(searchPlan))
-    , until(begun + askTime)
+    , until(begun + (this->plan.hasChains ? probeTime : askTime))
 {
     this->advance(begun);
 }
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -37,6 +37,9 @@
     std::vector<AgentIndex> asked; // and expected to answer
     std::vector<AgentIndex> unconfirmed; // ruled out by reports from before the search
     bool isComplete = true; // false if the flow may be elsewhere
+    // Some of those asked are the last of a chain of agents, each of which gives the packet to its
+    // server and, if the server returns it, to the next agent.
+    bool hasChains = false;
 };
 
 class FlowSearch
@@ -69,7 +72,7 @@
 private:
     // Answers take one round trip, below 10 ms between failure domains of a region.
     static constexpr std::chrono::milliseconds askTime{ 30 };
-    // Below the caller's first retransmission (200 ms).
+    // Below the caller's first retransmission (200 ms); a chain of eight takes a tenth of it.
     static constexpr std::chrono::milliseconds probeTime{ 150 };
     // Two intervals of reports in a large fleet; callers wait one to four seconds.
     static constexpr std::chrono::milliseconds confirmTime{ 2000 };
--- a/mesh/flowsearch_test.cpp
+++ b/mesh/flowsearch_test.cpp
@@ -81,6 +81,50 @@
         BOOST_TEST(this->world.agent("a" + std::to_string(i)).server.foreignPackets == 0u);
 }
 
+// Balancers and agents restart; only the servers know their flows.
+BOOST_AUTO_TEST_CASE(findsManyFlowsThroughChainsOfAgents)
+{
+    constexpr std::uint16_t flows = 200;
+    for (std::uint16_t i = 0; i < flows; ++i)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(i), booking).empty());
+    for (int i = 0; i < agents; ++i)
+        this->world.restartAgent("a" + std::to_string(i));
+    this->world.restartBalancer("b1");
+    this->world.run(1500ms);
+    this->askMuch("b1");
+    const BalancerCounters &counters = this->world.balancer("b1").balancer->counters();
+    const std::uint64_t before = counters.questions + counters.probes;
+    int answered = 0;
+    for (std::uint16_t i = 0; i < flows; ++i)
+        answered += this->world.request("b1", callerOf(i), booking, 10ms) ? 1 : 0;
+    // The answers to the last ones are on their way.
+    this->world.run(100ms);
+    BOOST_TEST(answered >= flows / 2);
+    BOOST_TEST(counters.searchesFound >= flows);
+    // Two seconds of the limit with a packet for each question, and four chains for each other
+    // flow. Thirty questions and thirty packets for each flow would be 12,000.
+    BOOST_TEST(counters.questions + counters.probes - before < 2 * 2 * 600 + 4 * flows);
+    for (std::uint16_t i = 0; i < flows; ++i)
+        BOOST_TEST(this->world.resetsTo(callerOf(i)) == 0u);
+}
+
+// The rest of a chain is not lost with an agent that has just stopped.
+BOOST_AUTO_TEST_CASE(findsAFlowBehindAnAgentThatStopped)
+{
+    const std::string owner = this->world.openFlow("b1", callerOf(1), booking);
+    for (int i = 0; i < agents; ++i)
+        this->world.restartAgent("a" + std::to_string(i));
+    this->world.restartBalancer("b1");
+    this->world.run(1500ms);
+    const std::string stopped = owner == "a7" ? "a8" : "a7";
+    this->world.agent(stopped).isUp = false;
+    this->askMuch("b1");
+    bool isAnswered = false;
+    for (int tries = 0; tries < 6 && !isAnswered; ++tries)
+        isAnswered = this->world.request("b1", callerOf(1), booking, 200ms);
+    BOOST_TEST(isAnswered);
+}
+
 BOOST_AUTO_TEST_CASE(searchesDontLiveForEver)
 {
     for (int i = 0; i < agents; ++i)
--- a/meshd/metricstext.cpp
+++ b/meshd/metricstext.cpp
@@ -26,6 +26,7 @@
     NamedCounter<BalancerCounters>{ "packets_forwarded_total", &BalancerCounters::forwarded },
     NamedCounter<BalancerCounters>{ "flow_searches_total", &BalancerCounters::searches },
     NamedCounter<BalancerCounters>{ "flow_questions_total", &BalancerCounters::questions },
+    NamedCounter<BalancerCounters>{ "flow_probes_total", &BalancerCounters::probes },
     NamedCounter<BalancerCounters>{ "flow_searches_found_total", &BalancerCounters::searchesFound },
     NamedCounter<BalancerCounters>{ "flow_searches_expired_total",
                                     &BalancerCounters::searchesExpired },
