Do not take a server that fails fast for a fast one; pause on lost history

The agents' first answer times were taken at once, and an answer that refuses a request takes no time, so one server looked ten times as fast as the rest to all balancers. Change: a service time counts from eight answers on, and below half of the service's mean it is taken as half. Outliers keep getting flows, at most what a server of twice the speed gets. Pattern: outlier handling with a floor.

Change: the second loss in a row backs off (0.2 to 2 s) until a watch is answered, well within the 3 s for a change.

--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -157,11 +157,13 @@
 Duration AgentDirectory::costOf(const Agent &agent, const ServiceMeans &means) const
 {
     const AgentReport &report = agent.report;
+    const auto fastest = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(means.serviceTime) * fastestShare);
     return expectedCost({ .slots = report.slots,
                           .flows = double(report.flows) + agent.placed,
                           .requestsInProgress = report.requestsInProgress,
                           .serviceTime = report.serviceTime > Duration::zero()
-                                                 ? Duration(report.serviceTime)
+                                                 ? std::max<Duration>(report.serviceTime, fastest)
                                                  : means.serviceTime,
                           .requestsPerFlow = means.requestsPerFlow,
                           .isOtherZone = report.zone != this->options.zone,
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -99,6 +99,9 @@
     static constexpr double assumedRequestsPerFlow = 1; // a second
     static constexpr double assumedResponseBytes = 2048; // a small answer
     static constexpr double mostRequestsPerFlow = 50; // short flows: one request each
+    // A server that answers faster than this share of its service's mean is rather failing than
+    // fast; speeds of servers differ by 2.4 at most in the known deployments.
+    static constexpr double fastestShare = 0.5;
     // Costs that differ by less than this share are equal, so that flows spread.
     static constexpr double tieShare = 0.02;
 
--- a/mesh/placement_test.cpp
+++ b/mesh/placement_test.cpp
@@ -102,6 +102,26 @@
     BOOST_TEST(fast < flows * 8 / 10);
 }
 
+// A server that refuses requests at once looks fast. It must not get everything.
+BOOST_AUTO_TEST_CASE(aServerThatFailsFastDoesNotGetEveryFlow)
+{
+    const auto flowsOfFirst = [&](std::chrono::microseconds serviceTime) {
+        for (std::uint32_t i = 0; i < 10; ++i)
+            this->directory.onReport(reportOf("a", 10, i == 0 ? serviceTime : 60ms), host(i + 1),
+                                     start);
+        int flows = 0;
+        for (std::uint64_t flow = 0; flow < 300; ++flow) {
+            const auto order = this->directory.candidates(booking, this->state, flow * 7919, start);
+            flows += order.front().agent == 0 ? 1 : 0;
+            this->directory.onPlaced(order.front().agent, start);
+        }
+        return flows;
+    };
+    // It gets what a server of twice the speed gets; the means differ by a twentieth.
+    BOOST_TEST(flowsOfFirst(1ms) <= flowsOfFirst(30ms) * 1.1);
+    BOOST_TEST(flowsOfFirst(1ms) < 300);
+}
+
 BOOST_AUTO_TEST_CASE(equalServersGetEqualFlows)
 {
     for (std::uint32_t i = 1; i <= 4; ++i)
@@ -213,6 +233,17 @@
     BOOST_TEST((load.serviceTime() == 60ms));
 }
 
+BOOST_AUTO_TEST_CASE(oneFastAnswerIsNoServiceTime)
+{
+    ServerLoad load;
+    load.reset(start);
+    for (int i = 1; i <= 7; ++i)
+        load.onResponse(2ms, load.onRequest(start), 5, start + 2ms);
+    BOOST_TEST((load.serviceTime() == Duration::zero()));
+    load.onResponse(2ms, load.onRequest(start), 5, start + 2ms);
+    BOOST_TEST((load.serviceTime() == 2ms));
+}
+
 BOOST_AUTO_TEST_CASE(histogramCountsEveryTime)
 {
     LatencyHistogram histogram;
--- a/mesh/serverload.cpp
+++ b/mesh/serverload.cpp
@@ -49,10 +49,8 @@
     const double waiting =
             inProgressBefore >= slots ? double(inProgressBefore + 1) / double(slots) : 1;
     const auto sample = std::chrono::duration_cast<Duration>(latency / waiting);
-    if (this->service == Duration::zero())
-        this->service = sample;
-    else
-        this->service += (sample - this->service) / serviceTimeSamples;
+    this->serviceSamples = std::min(this->serviceSamples + 1, serviceTimeSamples);
+    this->service += (sample - this->service) / this->serviceSamples;
 }
 
 void ServerLoad::onAbandoned(TimePoint now)
--- a/mesh/serverload.h
+++ b/mesh/serverload.h
@@ -30,7 +30,11 @@
     std::uint32_t inProgress() const { return this->current; }
     double meanInProgress(TimePoint now) const;
     double requestsPerSecond(TimePoint now) const;
-    Duration serviceTime() const { return this->service; }
+    // Zero until measured: one of the first answers may be a refusal, which takes no time.
+    Duration serviceTime() const
+    {
+        return this->serviceSamples < enoughSamples ? Duration::zero() : this->service;
+    }
     double responseBytes() const;
 
 private:
@@ -39,6 +43,7 @@
     static constexpr std::chrono::milliseconds rateTime{ 2000 };
     // Weight of one sample of the service time; 16 samples arrive within a second under load.
     static constexpr std::int64_t serviceTimeSamples = 8;
+    static constexpr std::int64_t enoughSamples = 8;
 
     void advance(TimePoint now);
 
@@ -47,6 +52,7 @@
     double rate = 0; // requests per second
     TimePoint updated{};
     Duration service{};
+    std::int64_t serviceSamples = 0;
     std::uint64_t bytes = 0;
     std::uint64_t responses = 0;
 };
--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -74,14 +74,21 @@
                  { { "topic", topicNames[std::size_t(result.query.topic)] } });
     this->failures = 0;
     this->answeredAt = now;
-    topic.backoff = firstBackoff;
     if (result.kind == StoreResultKind::HistoryLost) {
+        // Once is an event of the store; a list does not help when it goes on.
+        if (topic.hasLostHistory)
+            this->backOff(topic, now);
+        topic.hasLostHistory = true;
         sink.log(Level::Info, "store_history_lost",
                  { { "topic", topicNames[std::size_t(result.query.topic)] },
                    { "revision", std::to_string(topic.revision) } });
         topic.revision = 0;
         return false;
     }
+    if (result.query.since != 0)
+        topic.hasLostHistory = false;
+    if (!topic.hasLostHistory)
+        topic.backoff = firstBackoff;
     // A list of a deactivated period must not be the start of a watch.
     topic.revision = std::max<Revision>(result.asOf, 1);
     return this->apply(result, state, sink);
@@ -96,6 +103,11 @@
         sink.log(Level::Warning, "store_lost",
                  { { "revision", std::to_string(topic.revision) },
                    { "backoff_ms", std::to_string(topic.backoff.count()) } });
+    this->backOff(topic, now);
+}
+
+void StateReader::backOff(Topic &topic, TimePoint now)
+{
     // The random part keeps the readers from asking at the same moment after an outage.
     std::uniform_int_distribution<std::int64_t> jitter(0, topic.backoff.count() / 4);
     topic.nextAt = now + topic.backoff + std::chrono::milliseconds(jitter(this->random));
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -87,7 +87,8 @@
 
 private:
     static constexpr std::uint32_t failureLimit = 2;
-    // Doubles with each failure; the store is priced and limited per call.
+    // Doubles with each failure, and while history is lost as soon as it has been listed; the store
+    // is priced and limited per call.
     static constexpr std::chrono::milliseconds firstBackoff{ 200 };
     static constexpr std::chrono::milliseconds lastBackoff{ 2000 };
 
@@ -97,12 +98,14 @@
         bool isAsked = false;
         TimePoint nextAt;
         std::chrono::milliseconds backoff = firstBackoff;
+        bool hasLostHistory = false; // since the last watch that was answered
     };
 
     bool apply(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyConfiguration(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyEvacuations(const StoreResult &result, FleetState &state);
     void onFailure(Topic &topic, TimePoint now, Sink &sink);
+    void backOff(Topic &topic, TimePoint now);
 
     ConfigurationDecoder decodeConfiguration;
     std::mt19937_64 random;
--- a/mesh/statereader_test.cpp
+++ b/mesh/statereader_test.cpp
@@ -86,6 +86,27 @@
     BOOST_TEST(this->query(StoreTopic::Configuration).since == 0u);
 }
 
+// The store drops its history again and again: lists and watches must not follow each other without
+// a pause.
+BOOST_AUTO_TEST_CASE(pausesWhileHistoryIsLostAgainAndAgain)
+{
+    int queries = 0;
+    for (const TimePoint end = this->now + 10s; this->now < end; this->now += 10ms) {
+        for (const StoreQuery &query : this->reader.takeQueries(this->now)) {
+            ++queries;
+            const bool isList = query.since == 0;
+            this->reader.onResult(
+                    { .query = query,
+                      .kind = isList ? StoreResultKind::Answered : StoreResultKind::HistoryLost,
+                      .asOf = 40 },
+                    this->now, this->state, this->sink);
+        }
+    }
+    // Two topics, a list and a watch each two seconds, and the first, shorter pauses.
+    BOOST_TEST(queries < 60);
+    BOOST_TEST(queries > 10);
+}
+
 BOOST_AUTO_TEST_CASE(keepsTheConfigurationThatAnUnreadableOneFollows)
 {
     this->answer(StoreTopic::Configuration, 40,
