Ask agents that have not reported yet, also beyond the limit

A new balancer knows agents from its peers before their reports; beyond the limit on questions such agents were neither asked (they had not said that they know their flows) nor in a chain (their service was not known), so that no search could find anything.

Change: an agent that has not reported is asked, as before.

Test: flowSearch/asksAgentsThatHaveNotReportedYet (failed before).

--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -51,6 +51,9 @@
         double placed = 0; // flows placed here since the last report
         std::uint32_t unanswered = 0; // opening packets in a row without any sign of the agent
         TimePoint unansweredSince;
+
+        // False while it is known only from another balancer.
+        bool hasReported() const { return !this->report.service.value.empty(); }
     };
 
     explicit AgentDirectory(Options directoryOptions)
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -56,7 +56,7 @@
         return true;
     const std::vector<AgentIndex> known = this->directory.holders();
     return this->hasAgentList && std::all_of(known.begin(), known.end(), [&](AgentIndex agent) {
-               return !this->directory.at(agent).report.service.value.empty();
+               return this->directory.at(agent).hasReported();
            });
 }
 
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -62,7 +62,7 @@
                 extras.silent.push_back(agent);
         } else if (isRuledOut && !isAskingAll) {
             plan.unconfirmed.push_back(agent);
-        } else if (isAskingAll || entry.report.knowsAllFlows) {
+        } else if (isAskingAll || entry.report.knowsAllFlows || !entry.hasReported()) {
             plan.asked.push_back(agent);
         } else if (this->mayHold(key, agent)) {
             extras.chained.push_back(agent);
--- a/mesh/flowsearch_test.cpp
+++ b/mesh/flowsearch_test.cpp
@@ -108,6 +108,20 @@
         BOOST_TEST(this->world.resetsTo(callerOf(i)) == 0u);
 }
 
+// A new balancer has the list of agents from a peer before it hears their reports.
+BOOST_AUTO_TEST_CASE(asksAgentsThatHaveNotReportedYet)
+{
+    BOOST_TEST(!this->world.openFlow("b1", callerOf(1), booking).empty());
+    this->world.run(1s);
+    this->world.restartBalancer("b2");
+    Balancer &balancer = *this->world.balancer("b2").balancer;
+    while (balancer.agents().holders().size() < agents)
+        this->world.run(250us);
+    BOOST_TEST(!balancer.agents().at(0).hasReported());
+    this->askMuch("b2");
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking, 100ms));
+}
+
 // The rest of a chain is not lost with an agent that has just stopped.
 BOOST_AUTO_TEST_CASE(findsAFlowBehindAnAgentThatStopped)
 {
