Soak the real programs on loopback under faults drawn from a seed

The soak starts cactusdeck-mesh processes, kills, freezes and stops them, disturbs the stand-in of the platform's store, crashes and drains servers, changes routes, evacuates, and loses packets and heartbeats; ten promises are checked from what callers and servers see.

--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,125 @@
+#ifndef CACTUSDECK_SOAK_CALLERS_H
+#define CACTUSDECK_SOAK_CALLERS_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "platform/standin/packet.h"
+#include "soak/fleet.h"
+#include "soak/promises.h"
+#include "soak/server.h"
+#include "standin/udpport.h"
+
+// The callers: flows that stay open for many requests, and short ones with a single request. Each
+// packet goes to the balancer that the fabric chooses at that moment.
+//
+//     Callers callers({ .host = ..., .routes = routes, ... }, std::move(port), fleet, servers,
+//                     promises);
+//     callers.step(now);       // every millisecond or so
+
+namespace cactusdeck::soak {
+
+using Servers = std::vector<std::unique_ptr<Server>>;
+
+// What callers may expect of an address now.
+enum class Expectation : std::uint8_t { Served, Unserved, Either };
+
+struct CallersOptions
+{
+    std::uint32_t host = 0; // address of all callers
+    std::vector<Endpoint> routes; // that stay in force
+    Endpoint changingRoute; // comes and goes
+    std::size_t longFlows = 40;
+    std::chrono::milliseconds shortInterval{ 40 }; // between short flows
+    std::uint64_t seed = 0;
+};
+
+class Callers
+{
+public:
+    Callers(CallersOptions callersOptions, UdpPort socket, const Fleet &nodes,
+            const Servers &allServers, Promises &allPromises);
+
+    void step(TimePoint now);
+    // Share of packets lost in each direction between callers and balancers.
+    void setLoss(double share) { this->loss = share; }
+    void setChangingRoute(Expectation expected) { this->changing = expected; }
+    // From now on each opening must succeed.
+    void setCalm(bool isCalm) { this->mustOpen = isCalm; }
+    // The route is or was gone: its flows may end.
+    void dropFlowsOfChangingRoute();
+
+    std::uint64_t answered() const { return this->answers; }
+    std::uint64_t refused() const { return this->refusals; }
+    std::uint64_t unopened() const { return this->silences; }
+    std::uint64_t lost() const { return this->losses; }
+
+private:
+    struct Flow
+    {
+        FlowKey key;
+        bool isLong = false;
+        bool mustOpen = false; // it began in calm
+        Expectation expected = Expectation::Served;
+        bool isOpen = false;
+        TimePoint begun;
+        std::uint32_t copies = 0;
+        std::uint32_t sent = 0; // next own byte
+        std::uint32_t received = 0; // next byte of the server
+        std::uint32_t answerSequence = 0; // of the server's opening answer
+        const Server *server = nullptr; // that opened it
+        std::string request; // empty: none in progress
+        TimePoint requestedAt;
+        TimePoint resendAt;
+        Duration resendAfter{};
+        TimePoint nextRequest;
+        bool isExcused = false; // the request met a fault that may hold it up
+    };
+
+    static constexpr std::chrono::milliseconds openingLimit{ 1400 };
+    static constexpr std::chrono::milliseconds firstResend{ 200 };
+    static constexpr std::chrono::milliseconds lastResend{ 1600 };
+    static constexpr std::chrono::milliseconds requestInterval{ 400 };
+    // Resends at 0.2, 0.6, 1.4, 3.0 and 4.6 s; the fabric notices a lost balancer within 1.5 s.
+    static constexpr std::chrono::milliseconds answerLimit{ 6000 };
+
+    void open(bool isLong, Endpoint route, TimePoint now);
+    void sendOpening(const Flow &flow);
+    void sendRequest(Flow &flow, TimePoint now);
+    void send(const standin::Packet &packet);
+    void onPacket(std::span<const std::uint8_t> bytes, TimePoint now);
+    void onReset(Flow &flow, TimePoint now);
+    void onOpened(Flow &flow, const standin::Packet &packet, TimePoint now);
+    void onAnswer(Flow &flow, const standin::Packet &packet, TimePoint now);
+    // False when the flow has ended.
+    bool advance(Flow &flow, TimePoint now);
+    void checkOpening(const Flow &flow, bool hasOpened, TimePoint now);
+    // Whether the agent of the flow's server has run without a fault since the request.
+    bool isAgentSteady(const Flow &flow) const;
+    Endpoint anyRoute();
+
+    CallersOptions options;
+    UdpPort port;
+    const Fleet &fleet;
+    const Servers &servers;
+    Promises &promises;
+    std::mt19937_64 random;
+    std::map<FlowKey, Flow> flows;
+    std::uint16_t nextPort = 10000;
+    std::uint64_t requests = 0;
+    TimePoint nextShort{};
+    double loss = 0;
+    bool mustOpen = false;
+    Expectation changing = Expectation::Served;
+    std::uint64_t answers = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t silences = 0;
+    std::uint64_t losses = 0;
+};
+
+} // namespace cactusdeck::soak
+
+#endif // CACTUSDECK_SOAK_CALLERS_H
--- /dev/null
+++ b/soak/fleet.cpp
@@ -0,0 +1,198 @@
+#include "soak/fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include <nlohmann/json.hpp>
+#include <sys/wait.h>
+
+#include "platform/standin/calls.h"
+
+namespace cactusdeck::soak {
+
+namespace {
+
+using nlohmann::json;
+
+json settingsOf(const NodeOptions &node, const FleetOptions &fleet)
+{
+    const auto at = [&](std::uint16_t port) { return toString(Endpoint{ node.address, port }); };
+    json seeds = json::array();
+    for (const Endpoint &seed : fleet.seeds)
+        seeds.push_back(toString(Endpoint{ seed.address, controlPort }));
+    json settings{ { "id", node.name },
+                   { "zone", node.zone },
+                   { "address", toString(Endpoint{ node.address, 0 }) },
+                   { "meshPort", meshPort },
+                   { "packets", at(packetPort) },
+                   { "control", at(controlPort) },
+                   { "store", toString(fleet.store) },
+                   { "seeds", seeds } };
+    settings["address"] = at(0).substr(0, at(0).find(':'));
+    if (node.role == "balancer") {
+        settings["readiness"] = at(readinessPort);
+    } else {
+        settings["service"] = node.service;
+        settings["server"] = at(serverPort);
+        settings["outbound"] = at(outboundPort);
+    }
+    return settings;
+}
+
+std::uint64_t rankOf(std::uint64_t flowHash, std::uint32_t address)
+{
+    return (flowHash ^ (address * 0x9E3779B97F4A7C15ull)) * 0xD6E8FEB86659FD93ull;
+}
+
+} // namespace
+
+Fleet::Fleet(FleetOptions fleetOptions, Promises &allPromises)
+    : options(std::move(fleetOptions))
+    , promises(allPromises)
+{ }
+
+Fleet::~Fleet()
+{
+    this->isClosing = true;
+    for (std::thread &watcher : this->watchers)
+        watcher.join();
+}
+
+std::string Fleet::pathOf(const Node &node, const char *suffix) const
+{
+    return this->options.folder + "/" + node.options.name + suffix;
+}
+
+Result<void> Fleet::add(const NodeOptions &nodeOptions)
+{
+    auto node = std::make_unique<Node>();
+    node->options = nodeOptions;
+    std::ofstream file(this->pathOf(*node, ".json"));
+    file << settingsOf(nodeOptions, this->options).dump(4) << '\n';
+    if (!file.flush())
+        return fail(ErrorKind::Io, "cannot write " + this->pathOf(*node, ".json"));
+    this->nodes.push_back(std::move(node));
+    return {};
+}
+
+void Fleet::startFabric()
+{
+    for (const auto &node : this->nodes) {
+        if (node->options.role == "balancer")
+            this->watchers.emplace_back(
+                    [this, &watched = *node] { this->watchReadiness(watched); });
+    }
+}
+
+void Fleet::watchReadiness(Node &node)
+{
+    int misses = 0;
+    while (!this->isClosing) {
+        const auto next = Clock::now() + readinessInterval;
+        if (standin::isReady({ node.options.address, readinessPort })) {
+            misses = 0;
+            node.isReady = true;
+        } else if (++misses >= missesUntilOut) {
+            node.isReady = false;
+        }
+        std::this_thread::sleep_until(next);
+    }
+}
+
+void Fleet::change(Node &node, State state, TimePoint now, const char *event)
+{
+    node.state = state;
+    node.disturbed = now;
+    this->promises.log(now, std::string("fault=") + event + " node=" + node.options.name);
+}
+
+Result<void> Fleet::start(std::size_t index, TimePoint now)
+{
+    Node &node = *this->nodes[index];
+    BOOST_LEAF_AUTO(process, Process::start({ this->options.program, node.options.role,
+                                              "--settings", this->pathOf(node, ".json") },
+                                            this->pathOf(node, ".log")));
+    node.process = std::move(process);
+    this->change(node, State::Up, now, "start");
+    return {};
+}
+
+void Fleet::kill(std::size_t index, TimePoint now)
+{
+    Node &node = *this->nodes[index];
+    if (node.process)
+        node.process->killAndWait();
+    node.process.reset();
+    this->change(node, State::Down, now, "kill");
+}
+
+void Fleet::freeze(std::size_t index, TimePoint now)
+{
+    Node &node = *this->nodes[index];
+    node.process->signal(SIGSTOP);
+    this->change(node, State::Frozen, now, "freeze");
+}
+
+void Fleet::wake(std::size_t index, TimePoint now)
+{
+    Node &node = *this->nodes[index];
+    node.process->signal(SIGCONT);
+    this->change(node, State::Up, now, "wake");
+}
+
+void Fleet::askToStop(std::size_t index, TimePoint now)
+{
+    Node &node = *this->nodes[index];
+    node.process->signal(SIGTERM);
+    this->change(node, State::Stopping, now, "stop");
+}
+
+void Fleet::step(TimePoint now)
+{
+    for (const auto &node : this->nodes) {
+        if (!node->process)
+            continue;
+        const std::optional<int> status = node->process->poll();
+        if (!status)
+            continue;
+        const bool isClean =
+                node->state == State::Stopping && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+        this->promises.check(Promise::CleanExit, isClean, now,
+                             "node=" + node->options.name + " status=" + std::to_string(*status));
+        node->process.reset();
+        this->change(*node, State::Down, now, "ended");
+    }
+}
+
+bool Fleet::hasRunning() const
+{
+    return std::any_of(this->nodes.begin(), this->nodes.end(),
+                       [](const auto &node) { return node->state != State::Down; });
+}
+
+std::optional<std::size_t> Fleet::balancerFor(std::uint64_t flowHash) const
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        const Node &node = *this->nodes[i];
+        if (node.isReady
+            && (!best
+                || rankOf(flowHash, node.options.address)
+                           > rankOf(flowHash, this->at(*best).options.address)))
+            best = i;
+    }
+    return best;
+}
+
+bool Fleet::isDisturbed(TimePoint now, Duration within, bool ofBalancers) const
+{
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        if (this->isBalancer(i) == ofBalancers
+            && (this->at(i).state != State::Up || now - this->at(i).disturbed < within))
+            return true;
+    }
+    return false;
+}
+
+} // namespace cactusdeck::soak
--- /dev/null
+++ b/soak/fleet.h
@@ -0,0 +1,107 @@
+#ifndef CACTUSDECK_SOAK_FLEET_H
+#define CACTUSDECK_SOAK_FLEET_H
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/types.h"
+#include "soak/process.h"
+#include "soak/promises.h"
+
+// The nodes under test as separate processes on loopback addresses, and the fabric's view of which
+// balancers are ready.
+//
+//     Fleet fleet({ .program = ..., .folder = ..., .network = ... }, promises);
+//     BOOST_LEAF_CHECK(fleet.add({ .role = "balancer", ... }));
+//     fleet.kill(node, now); ... fleet.start(node, now);
+
+namespace cactusdeck::soak {
+
+// Of every node; they differ by address.
+inline constexpr std::uint16_t meshPort = 7720;
+inline constexpr std::uint16_t packetPort = 8172;
+inline constexpr std::uint16_t readinessPort = 8167;
+inline constexpr std::uint16_t controlPort = 8166;
+inline constexpr std::uint16_t outboundPort = 8173;
+inline constexpr std::uint16_t serverPort = 8080;
+inline constexpr std::uint16_t storePort = 8169;
+
+struct FleetOptions
+{
+    std::string program; // cactusdeck-mesh
+    std::string folder; // for settings and logs
+    Endpoint store;
+    std::vector<Endpoint> seeds;
+};
+
+struct NodeOptions
+{
+    std::string name;
+    std::string role; // balancer or agent
+    std::string zone;
+    std::uint32_t address = 0;
+    std::string service; // agents only
+};
+
+class Fleet
+{
+public:
+    enum class State : std::uint8_t { Down, Up, Frozen, Stopping };
+
+    struct Node
+    {
+        NodeOptions options;
+        State state = State::Down;
+        TimePoint disturbed{}; // when it last changed its state, or began to run
+        std::optional<Process> process;
+        std::atomic<bool> isReady = false; // balancers: in the fabric's rotation
+    };
+
+    Fleet(FleetOptions fleetOptions, Promises &allPromises);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
+    Result<void> add(const NodeOptions &nodeOptions);
+    // Begins to ask the balancers whether they are ready.
+    void startFabric();
+
+    Result<void> start(std::size_t node, TimePoint now);
+    void kill(std::size_t node, TimePoint now);
+    void freeze(std::size_t node, TimePoint now);
+    void wake(std::size_t node, TimePoint now);
+    void askToStop(std::size_t node, TimePoint now);
+    // Notices processes that have ended.
+    void step(TimePoint now);
+
+    bool hasRunning() const;
+    std::size_t size() const { return this->nodes.size(); }
+    const Node &at(std::size_t node) const { return *this->nodes[node]; }
+    bool isBalancer(std::size_t node) const { return this->at(node).options.role == "balancer"; }
+    // The balancer that the fabric gives the flow to. Nothing if there is none.
+    std::optional<std::size_t> balancerFor(std::uint64_t flowHash) const;
+    // Whether one of the nodes is down or frozen, or was within the time before now.
+    bool isDisturbed(TimePoint now, Duration within, bool ofBalancers) const;
+
+private:
+    static constexpr std::chrono::milliseconds readinessInterval{ 500 };
+    static constexpr int missesUntilOut = 2;
+
+    std::string pathOf(const Node &node, const char *suffix) const;
+    void change(Node &node, State state, TimePoint now, const char *event);
+    void watchReadiness(Node &node);
+
+    FleetOptions options;
+    Promises &promises;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::atomic<bool> isClosing = false;
+    std::vector<std::thread> watchers;
+};
+
+} // namespace cactusdeck::soak
+
+#endif // CACTUSDECK_SOAK_FLEET_H
--- /dev/null
+++ b/soak/promises.h
@@ -0,0 +1,75 @@
+#ifndef CACTUSDECK_SOAK_PROMISES_H
+#define CACTUSDECK_SOAK_PROMISES_H
+
+#include <array>
+#include <cstdint>
+#include <iostream>
+#include <string>
+
+#include "core/types.h"
+
+// The promises that a soak checks from what callers and servers see, and how often each was checked
+// and broken.
+//
+//     promises.check(Promise::PacketsUnchanged, packet.isIntact, now, "server s2");
+
+namespace cactusdeck::soak {
+
+enum class Promise : std::uint8_t {
+    PacketsUnchanged, // what an end wrote is what the other one reads
+    OpenFlowKept, // no reset while the server run that holds the flow lives and its route exists
+    RequestAnswered, // on a kept flow, within answerLimit
+    RequestOnce, // a request reaches one run of a server
+    DrainKept, // no new flow once a drain is acknowledged
+    EvacuationKept, // no new flow in an evacuated domain after evacuationLimit
+    ColdKept, // cold servers get at most the flows they bear
+    RouteInForce, // added routes are served, removed ones aren't, after changeLimit
+    Recovered, // when the faults have ended, each new flow opens
+    CleanExit, // nodes end only by signals of the soak, or with success when asked to stop
+};
+inline constexpr std::size_t promiseCount = 10;
+
+class Promises
+{
+public:
+    explicit Promises(TimePoint start)
+        : startedAt(start)
+    { }
+
+    void check(Promise promise, bool isKept, TimePoint now, const std::string &what)
+    {
+        ++this->checked[std::size_t(promise)];
+        if (isKept)
+            return;
+        ++this->broken[std::size_t(promise)];
+        this->log(now, "broken promise=" + std::string(nameOf(promise)) + " " + what);
+    }
+
+    void log(TimePoint now, const std::string &text) const
+    {
+        using Milliseconds = std::chrono::milliseconds;
+        const auto at = std::chrono::duration_cast<Milliseconds>(now - this->startedAt);
+        std::cout << "at_ms=" << at.count() << ' ' << text << '\n' << std::flush;
+    }
+
+    std::uint64_t checks(Promise promise) const { return this->checked[std::size_t(promise)]; }
+    std::uint64_t breaks(Promise promise) const { return this->broken[std::size_t(promise)]; }
+
+    static const char *nameOf(Promise promise)
+    {
+        static constexpr std::array<const char *, promiseCount> names = {
+            "packets_unchanged", "open_flow_kept", "request_answered", "request_once", "drain_kept",
+            "evacuation_kept",   "cold_kept",      "route_in_force",   "recovered",    "clean_exit"
+        };
+        return names[std::size_t(promise)];
+    }
+
+private:
+    TimePoint startedAt;
+    std::array<std::uint64_t, promiseCount> checked{};
+    std::array<std::uint64_t, promiseCount> broken{};
+};
+
+} // namespace cactusdeck::soak
+
+#endif // CACTUSDECK_SOAK_PROMISES_H
--- /dev/null
+++ b/soak/soak.cpp
@@ -0,0 +1,406 @@
+#include "soak/soak.h"
+
+#include <csignal>
+#include <filesystem>
+
+namespace cactusdeck::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array zones = { "zone-a", "zone-b" };
+constexpr std::array services = { "booking", "tickets" };
+constexpr std::uint32_t loopback = 127u << 24;
+// Third byte of the addresses.
+constexpr std::uint8_t balancerNet = 10;
+constexpr std::uint8_t agentNet = 20;
+constexpr std::uint8_t callerNet = 30;
+constexpr std::uint8_t storeNet = 40;
+constexpr std::size_t seedCount = 3;
+constexpr std::uint32_t routeAddress = 0xC6120001; // 198.18.0.1, set aside for tests
+constexpr std::uint16_t routePort = 443;
+constexpr std::uint16_t changingPort = 444;
+
+std::uint32_t addressOf(std::uint8_t network, std::uint8_t net, std::size_t host)
+{
+    return loopback | std::uint32_t(network) << 16 | std::uint32_t(net) << 8
+           | std::uint32_t(host + 1);
+}
+
+std::vector<Endpoint> seedsOf(const SoakOptions &options)
+{
+    std::vector<Endpoint> seeds;
+    for (std::size_t i = 0; i < std::min(seedCount, options.balancers); ++i)
+        seeds.push_back({ addressOf(options.network, balancerNet, i), meshPort });
+    return seeds;
+}
+
+} // namespace
+
+const std::vector<Soak::NamedFault> Soak::faults = {
+    { "kill_node", &Soak::killNode },
+    { "kill_balancers", &Soak::killBalancers },
+    { "kill_everything", &Soak::killEverything },
+    { "freeze_node", &Soak::freezeNode },
+    { "stop_balancer", &Soak::stopBalancer },
+    { "disturb_store", &Soak::disturbStore },
+    { "crash_server", &Soak::crashServer },
+    { "drain_server", &Soak::drainServer },
+    { "change_route", &Soak::changeRoute },
+    { "evacuate", &Soak::evacuate },
+    { "lose_packets", &Soak::losePackets },
+    { "lose_heartbeats", &Soak::loseHeartbeats },
+};
+
+Soak::Soak(SoakOptions soakOptions)
+    : options(std::move(soakOptions))
+    , random(this->options.seed)
+    , now(Clock::now())
+    , promises(this->now)
+    , storeEndpoint{ addressOf(this->options.network, storeNet, 0), storePort }
+    , fleet({ .program = this->options.program,
+              .folder = this->options.folder,
+              .store = this->storeEndpoint,
+              .seeds = seedsOf(this->options) },
+            this->promises)
+{ }
+
+Duration Soak::between(std::chrono::milliseconds least, std::chrono::milliseconds most)
+{
+    return std::chrono::milliseconds(
+            std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(this->random));
+}
+
+Result<void> Soak::build()
+{
+    std::filesystem::create_directories(this->options.folder);
+    BOOST_LEAF_CHECK(this->store.start(this->storeEndpoint));
+    CallersOptions callerOptions{ .host = addressOf(this->options.network, callerNet, 0),
+                                  .changingRoute = { routeAddress, changingPort },
+                                  .seed = this->options.seed };
+    this->changingRoute = callerOptions.changingRoute;
+    this->publication.coldRequestsPerSecond = coldRequestsPerSecond;
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        const Endpoint route{ routeAddress + std::uint32_t(i), routePort };
+        callerOptions.routes.push_back(route);
+        this->publication.routes[route] = services[i];
+    }
+    for (std::size_t i = 0; i < this->options.balancers; ++i)
+        BOOST_LEAF_CHECK(
+                this->fleet.add({ .name = "b" + std::to_string(i + 1),
+                                  .role = "balancer",
+                                  .zone = zones[i % zones.size()],
+                                  .address = addressOf(this->options.network, balancerNet, i) }));
+    for (std::size_t i = 0; i < this->options.serversPerService * services.size(); ++i) {
+        const std::uint32_t address = addressOf(this->options.network, agentNet, i);
+        const std::string zone = zones[i / services.size() % zones.size()];
+        const std::string service = services[i % services.size()];
+        const std::string number = std::to_string(i + 1);
+        BOOST_LEAF_CHECK(this->fleet.add({ .name = "a" + number,
+                                           .role = "agent",
+                                           .zone = zone,
+                                           .address = address,
+                                           .service = service }));
+        BOOST_LEAF_AUTO(port, UdpPort::open({ address, serverPort }));
+        this->servers.push_back(std::make_unique<Server>(
+                ServerOptions{ .name = "s" + number,
+                               .service = service,
+                               .zone = zone,
+                               .address = { address, serverPort },
+                               .outbound = { address, outboundPort },
+                               .control = { address, controlPort },
+                               .coldRequestsPerSecond = coldRequestsPerSecond },
+                std::move(port), this->promises));
+    }
+    BOOST_LEAF_AUTO(port, UdpPort::open({ callerOptions.host, packetPort }));
+    this->callers = std::make_unique<Callers>(callerOptions, std::move(port), this->fleet,
+                                              this->servers, this->promises);
+    return {};
+}
+
+void Soak::publish()
+{
+    // Versions skip numbers.
+    this->publication.version += 1 + this->random() % 3;
+    this->store.publish(this->publication);
+}
+
+Result<bool> Soak::run()
+{
+    BOOST_LEAF_CHECK(this->build());
+    this->publication.routes[this->changingRoute] = services[0];
+    this->publish();
+    for (std::size_t i = 0; i < this->fleet.size(); ++i)
+        BOOST_LEAF_CHECK(this->fleet.start(i, this->now));
+    this->fleet.startFabric();
+    for (const auto &server : this->servers)
+        server->startRun(this->now, {});
+    // Traffic begins once the nodes are there.
+    const TimePoint traffic = Clock::now() + warmUp;
+    while (Clock::now() < traffic)
+        std::this_thread::sleep_for(10ms);
+    const TimePoint faultsEnd = Clock::now() + this->options.faultTime;
+    this->drawFaults(Clock::now() + warmUp, faultsEnd);
+    this->runUntil(faultsEnd);
+    while (!this->actions.empty())
+        this->step();
+    this->promises.log(this->now, "event=faults_ended");
+    this->runUntil(this->now + settleTime);
+    this->callers->setCalm(true);
+    this->runUntil(this->now + calmTime);
+    this->callers->setCalm(false);
+    for (std::size_t i = 0; i < this->fleet.size(); ++i)
+        this->fleet.askToStop(i, this->now);
+    const TimePoint stopEnd = this->now + stopLimit;
+    while (Clock::now() < stopEnd && this->fleet.hasRunning())
+        this->step();
+    for (std::size_t i = 0; i < this->fleet.size(); ++i)
+        this->promises.check(Promise::CleanExit, this->fleet.at(i).state == Fleet::State::Down,
+                             this->now, "node=" + this->fleet.at(i).options.name + " still=up");
+    this->store.stop();
+    return this->report();
+}
+
+void Soak::runUntil(TimePoint end)
+{
+    while (Clock::now() < end)
+        this->step();
+}
+
+void Soak::step()
+{
+    this->now = Clock::now();
+    while (!this->actions.empty() && this->actions.begin()->first <= this->now) {
+        const Action action = std::move(this->actions.extract(this->actions.begin()).mapped());
+        action(this->now);
+    }
+    this->fleet.step(this->now);
+    this->updateExpectations();
+    for (const auto &server : this->servers)
+        server->step(this->now);
+    this->callers->step(this->now);
+}
+
+// The bounds count from the end of any trouble with the store or with balancers.
+void Soak::updateExpectations()
+{
+    const bool isCatchingUp = this->isStoreDisturbed
+                              || this->now - this->storeDisturbed < catchUpTime
+                              || this->fleet.isDisturbed(this->now, catchUpTime, true);
+    const bool isRouted = this->publication.routes.contains(this->changingRoute);
+    Expectation expected = isRouted ? Expectation::Served : Expectation::Unserved;
+    if (isCatchingUp || this->now - this->changedAt < changeLimit)
+        expected = Expectation::Either;
+    this->callers->setChangingRoute(expected);
+    for (const auto &server : this->servers) {
+        const auto zone = this->evacuatedAt.find(server->settings().zone);
+        std::optional<TimePoint> from;
+        if (zone != this->evacuatedAt.end() && !isCatchingUp
+            && !this->fleet.isDisturbed(this->now, catchUpTime, false))
+            from = zone->second + evacuationLimit;
+        server->setNoFlowsFrom(from);
+    }
+}
+
+void Soak::drawFaults(TimePoint from, TimePoint until)
+{
+    for (TimePoint at = from; at < until; at += this->between(300ms, 2500ms)) {
+        const NamedFault &fault = faults[this->random() % faults.size()];
+        this->actions.emplace(at, [this, &fault](TimePoint time) {
+            ++this->injected[fault.name];
+            this->promises.log(time, std::string("event=fault kind=") + fault.name);
+            (this->*fault.begin)(time);
+        });
+    }
+}
+
+std::optional<std::size_t> Soak::steadyNode(bool isBalancer)
+{
+    std::vector<std::size_t> steady;
+    for (std::size_t i = 0; i < this->fleet.size(); ++i) {
+        if (this->fleet.isBalancer(i) == isBalancer && this->fleet.at(i).state == Fleet::State::Up)
+            steady.push_back(i);
+    }
+    if (steady.empty())
+        return std::nullopt;
+    return steady[this->random() % steady.size()];
+}
+
+Server *Soak::steadyServer()
+{
+    Server &server = *this->servers[this->random() % this->servers.size()];
+    return server.isUp() ? &server : nullptr;
+}
+
+void Soak::restartAfter(std::size_t node, Duration delay)
+{
+    this->after(delay, [this, node](TimePoint at) {
+        if (this->fleet.at(node).state != Fleet::State::Down)
+            return;
+        if (!this->fleet.start(node, at))
+            this->promises.check(Promise::CleanExit, false, at, "cannot start a node again");
+    });
+}
+
+void Soak::killNode(TimePoint at)
+{
+    const auto node = this->steadyNode(this->random() % 2 == 0);
+    if (!node)
+        return;
+    this->fleet.kill(*node, at);
+    this->restartAfter(*node, this->between(100ms, 2500ms));
+}
+
+void Soak::killBalancers(TimePoint at)
+{
+    for (std::size_t i = 0; i < this->fleet.size(); ++i) {
+        if (!this->fleet.isBalancer(i) || this->fleet.at(i).state != Fleet::State::Up)
+            continue;
+        this->fleet.kill(i, at);
+        this->restartAfter(i, this->between(100ms, 1000ms));
+    }
+}
+
+void Soak::killEverything(TimePoint at)
+{
+    for (std::size_t i = 0; i < this->fleet.size(); ++i) {
+        if (this->fleet.at(i).state != Fleet::State::Up)
+            continue;
+        this->fleet.kill(i, at);
+        this->restartAfter(i, this->between(300ms, 1500ms));
+    }
+}
+
+void Soak::freezeNode(TimePoint at)
+{
+    const auto node = this->steadyNode(this->random() % 2 == 0);
+    if (!node)
+        return;
+    this->fleet.freeze(*node, at);
+    this->after(this->between(300ms, 4000ms), [this, node](TimePoint time) {
+        if (this->fleet.at(*node).state == Fleet::State::Frozen)
+            this->fleet.wake(*node, time);
+    });
+}
+
+void Soak::stopBalancer(TimePoint at)
+{
+    const auto node = this->steadyNode(true);
+    if (!node)
+        return;
+    this->fleet.askToStop(*node, at);
+    this->restartAfter(*node, stopLimit);
+}
+
+void Soak::disturbStore(TimePoint at)
+{
+    if (this->isStoreDisturbed)
+        return;
+    const auto fault = standin::StoreFault(1 + this->random() % (standin::storeFaultCount - 1));
+    this->promises.log(at, std::string("fault=store kind=") + standin::nameOf(fault));
+    this->store.setFault(fault);
+    this->isStoreDisturbed = true;
+    this->after(this->between(1000ms, 5000ms), [this](TimePoint time) {
+        this->store.setFault(standin::StoreFault::None);
+        this->isStoreDisturbed = false;
+        this->storeDisturbed = time;
+        this->promises.log(time, "fault=store kind=none");
+    });
+}
+
+void Soak::crashServer(TimePoint at)
+{
+    Server *server = this->steadyServer();
+    if (server == nullptr)
+        return;
+    server->crash();
+    this->promises.log(at, "fault=crash server=" + server->settings().name);
+    const RunOptions next{ .coldFor = this->random() % 2 == 0 ? 4000ms : 0ms,
+                           .keepsInstance = this->random() % 2 == 0 };
+    this->after(this->between(300ms, 2000ms), [this, server, next](TimePoint time) {
+        server->startRun(time, next);
+        this->promises.log(time, "fault=run server=" + server->settings().name);
+    });
+}
+
+void Soak::drainServer(TimePoint at)
+{
+    Server *server = this->steadyServer();
+    if (server == nullptr)
+        return;
+    server->beginDrain();
+    this->promises.log(at, "fault=drain server=" + server->settings().name);
+    // Without an acknowledgement it ends as well, some seconds later.
+    this->after(8000ms, [this, server](TimePoint time) {
+        server->startRun(time, { .coldFor = 3000ms });
+        this->promises.log(time, "fault=run server=" + server->settings().name);
+    });
+}
+
+void Soak::changeRoute(TimePoint at)
+{
+    if (this->publication.routes.erase(this->changingRoute) == 0)
+        this->publication.routes[this->changingRoute] = services[this->random() % services.size()];
+    this->callers->dropFlowsOfChangingRoute();
+    this->changedAt = at;
+    this->publish();
+}
+
+void Soak::evacuate(TimePoint at)
+{
+    const std::string zone = zones[this->random() % zones.size()];
+    if (!this->evacuatedAt.empty())
+        return;
+    this->store.setEvacuated(zone, true);
+    this->evacuatedAt[zone] = at;
+    this->after(8000ms, [this, zone](TimePoint) {
+        this->evacuatedAt.erase(zone);
+        this->store.setEvacuated(zone, false);
+    });
+}
+
+void Soak::losePackets(TimePoint at)
+{
+    static constexpr std::array shares = { 0.02, 0.1, 0.4 };
+    const double share = shares[this->random() % shares.size()];
+    this->promises.log(at, "fault=loss share=" + std::to_string(share));
+    this->callers->setLoss(share);
+    this->after(this->between(500ms, 3000ms), [this](TimePoint) { this->callers->setLoss(0); });
+}
+
+void Soak::loseHeartbeats(TimePoint at)
+{
+    Server *server = this->steadyServer();
+    if (server == nullptr)
+        return;
+    this->promises.log(at, "fault=no_heartbeats server=" + server->settings().name);
+    server->setBeating(false);
+    this->after(this->between(1000ms, 6000ms), [server](TimePoint) { server->setBeating(true); });
+}
+
+bool Soak::report() const
+{
+    std::string line = "event=report seed=" + std::to_string(this->options.seed);
+    for (const auto &[name, count] : this->injected)
+        line += " " + name + "=" + std::to_string(count);
+    this->promises.log(this->now, line);
+    std::uint64_t broken = 0;
+    for (std::size_t i = 0; i < promiseCount; ++i) {
+        broken += this->promises.breaks(Promise(i));
+        this->promises.log(this->now,
+                           std::string("event=promise name=") + Promises::nameOf(Promise(i))
+                                   + " checked=" + std::to_string(this->promises.checks(Promise(i)))
+                                   + " broken="
+                                   + std::to_string(this->promises.breaks(Promise(i))));
+    }
+    this->promises.log(this->now,
+                       "event=callers answered=" + std::to_string(this->callers->answered())
+                               + " refused=" + std::to_string(this->callers->refused())
+                               + " unopened=" + std::to_string(this->callers->unopened())
+                               + " lost=" + std::to_string(this->callers->lost())
+                               + " store_calls=" + std::to_string(this->store.calls()));
+    return broken == 0;
+}
+
+} // namespace cactusdeck::soak
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,107 @@
+#ifndef CACTUSDECK_SOAK_SOAK_H
+#define CACTUSDECK_SOAK_SOAK_H
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+#include "platform/standin/store.h"
+#include "soak/callers.h"
+
+// One soak: real nodes, stand-ins around them, and faults drawn from a seed, alone and at once.
+//
+//     Soak soak({ .program = "...", .folder = "...", .seed = 7 });
+//     BOOST_LEAF_AUTO(isKept, soak.run());
+
+namespace cactusdeck::soak {
+
+struct SoakOptions
+{
+    std::string program; // cactusdeck-mesh
+    std::string folder;
+    std::uint64_t seed = 1;
+    std::uint8_t network = 16; // second byte of the loopback addresses
+    std::size_t balancers = 4;
+    std::size_t serversPerService = 3;
+    std::chrono::seconds faultTime{ 25 };
+};
+
+class Soak
+{
+public:
+    explicit Soak(SoakOptions soakOptions);
+
+    // True if every promise was kept. Errors are of kind Io.
+    Result<bool> run();
+
+private:
+    using Action = std::function<void(TimePoint)>;
+    using Fault = void (Soak::*)(TimePoint);
+
+    struct NamedFault
+    {
+        const char *name;
+        Fault begin;
+    };
+    static const std::vector<NamedFault> faults;
+
+    static constexpr std::chrono::milliseconds warmUp{ 3000 };
+    // The platform's bounds: when changes must be in force, also after trouble.
+    static constexpr std::chrono::milliseconds changeLimit{ 3000 };
+    static constexpr std::chrono::milliseconds evacuationLimit{ 5000 };
+    static constexpr std::chrono::milliseconds catchUpTime{ 4000 };
+    // After the last fault, before each opening must succeed.
+    static constexpr std::chrono::milliseconds settleTime{ 6000 };
+    static constexpr std::chrono::milliseconds calmTime{ 3000 };
+    static constexpr std::chrono::milliseconds stopLimit{ 6000 }; // the platform's grace
+    static constexpr double coldRequestsPerSecond = 4;
+
+    Result<void> build();
+    void drawFaults(TimePoint from, TimePoint until);
+    void after(Duration delay, Action action) { this->actions.emplace(this->now + delay, action); }
+    Duration between(std::chrono::milliseconds least, std::chrono::milliseconds most);
+    std::optional<std::size_t> steadyNode(bool isBalancer);
+    Server *steadyServer();
+    void restartAfter(std::size_t node, Duration delay);
+    void step();
+    void runUntil(TimePoint end);
+    void publish();
+    void updateExpectations();
+    bool report() const;
+
+    void killNode(TimePoint at);
+    void killBalancers(TimePoint at);
+    void killEverything(TimePoint at);
+    void freezeNode(TimePoint at);
+    void stopBalancer(TimePoint at);
+    void disturbStore(TimePoint at);
+    void crashServer(TimePoint at);
+    void drainServer(TimePoint at);
+    void changeRoute(TimePoint at);
+    void evacuate(TimePoint at);
+    void losePackets(TimePoint at);
+    void loseHeartbeats(TimePoint at);
+
+    SoakOptions options;
+    std::mt19937_64 random;
+    TimePoint now;
+    Promises promises;
+    Endpoint storeEndpoint;
+    standin::Store store;
+    Fleet fleet;
+    Servers servers;
+    std::unique_ptr<Callers> callers;
+    std::multimap<TimePoint, Action> actions;
+    std::map<std::string, std::uint64_t> injected;
+    standin::Publication publication;
+    Endpoint changingRoute;
+    TimePoint changedAt{}; // of the route
+    TimePoint storeDisturbed{};
+    bool isStoreDisturbed = false;
+    std::map<std::string, TimePoint> evacuatedAt; // by zone
+};
+
+} // namespace cactusdeck::soak
+
+#endif // CACTUSDECK_SOAK_SOAK_H
