--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -74,7 +74,10 @@
 
 Result<void> Soak::build()
 {
-    std::filesystem::create_directories(this->options.folder);
+    std::error_code error;
+    std::filesystem::create_directories(this->options.folder, error);
+    if (error)
+        return fail(ErrorKind::Io, this->options.folder + ": " + error.message());
     BOOST_LEAF_CHECK(this->store.start(this->storeEndpoint));
     CallersOptions callerOptions{ .host = addressOf(this->options.network, callerNet, 0),
                                   .changingRoute = { routeAddress, changingPort },
