Rule no flow out by a chain through an evacuated domain

Cause: found while reading the diff. An agent of an evacuated domain hands a probe on without asking its server, and the last agent of the chain then answers for all. With everything restarted during an evacuation a flow that lives on such a server counted as lost and its caller got a reset.

Ruled out: plain packets (they are dropped there, as before).

Change: these agents are not in chains, and the search is incomplete without them, so it ends in silence.

--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -64,7 +64,8 @@
             plan.unconfirmed.push_back(agent);
         } else if (isAskingAll || entry.report.knowsAllFlows || !entry.hasReported()) {
             plan.asked.push_back(agent);
-        } else if (this->mayHold(key, agent)) {
+        } else if (this->mayHold(key, agent) && !this->fleet.isEvacuated(entry.report.zone)) {
+            // Agents of evacuated domains hand packets on without asking their servers.
             extras.chained.push_back(agent);
         } else {
             plan.isComplete = false;
--- a/mesh/gone_test.cpp
+++ b/mesh/gone_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "mesh/meshworld_test.h"
@@ -108,6 +110,35 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
 }
 
+// Agents of an evacuated domain hand packets on without asking their servers, so a chain through
+// them rules nothing out.
+BOOST_AUTO_TEST_CASE(aChainThroughAnEvacuatedDomainRulesNoFlowOut)
+{
+    constexpr std::uint16_t flows = 20;
+    std::vector<std::string> owners;
+    for (std::uint16_t i = 0; i < flows; ++i)
+        owners.push_back(this->world.openFlow("b1", callerOf(i), booking));
+    BOOST_TEST(std::count(owners.begin(), owners.end(), "a1") > 0);
+    this->world.setEvacuated({ ZoneName{ "zone-a" } });
+    this->world.run(1s);
+    this->world.restartAgent("a1");
+    this->world.restartAgent("a2");
+    this->world.restartBalancer("b1");
+    this->world.run(5s);
+    // Uses up what a balancer may ask at once.
+    for (std::uint16_t i = 0; i < 700; ++i)
+        this->world.fromCaller("b1", { .source = callerOf(std::uint16_t(40000 + i)),
+                                       .destination = booking,
+                                       .length = 10,
+                                       .flags = tcpflag::ack });
+    for (std::uint16_t i = 0; i < flows; ++i)
+        this->world.request("b1", callerOf(i), booking, 2ms);
+    this->world.run(1s);
+    // All servers live.
+    for (std::uint16_t i = 0; i < flows; ++i)
+        BOOST_TEST(this->world.resetsTo(callerOf(i)) == 0u);
+}
+
 // The agent alone is stopped, and its server lives.
 BOOST_AUTO_TEST_CASE(anAgentThatStopsBesideItsServerLeavesFlowsAlone)
 {
