State no limits to an agent whose service is not known yet

The agent's log: limits_changed revision=11 connections=0 cold_flows_per_second=0. All balancers had been killed; a new one knew the agent from its peers, before its report, and sent a notice with the newest revision and the limits of no service. The bound was lifted until the next configuration; an evacuation would have been lifted the same way.

Ruled out: the configuration (all its versions state 4 a second), the agent's restart (its limits were back 2 s before).

Change: a notice to an agent that has not reported names balancers only; revision 0 states nothing.

Test: gone/aNewBalancerDoesNotLiftTheBoundOfAColdServer (7 and 23 openings in 0.3 s before, at most 2 allowed).

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -117,11 +117,16 @@
 void Balancer::notify(AgentIndex index, TimePoint now, Sink &sink)
 {
     const AgentDirectory::Agent &agent = this->directory.at(index);
-    BalancerNotice notice{ .configuration = this->fleet.configurationRevision(),
-                           .evacuation = this->fleet.evacuationRevision(),
-                           .isZoneEvacuated = this->fleet.isEvacuated(agent.report.zone),
-                           .balancers = this->peers.live(now) };
-    if (const ConfigurationPointer &configuration = this->fleet.configuration()) {
+    BalancerNotice notice{ .balancers = this->peers.live(now) };
+    // Before the agent has reported, its service and failure domain are not known. Revision 0
+    // states nothing.
+    if (agent.hasReported()) {
+        notice.configuration = this->fleet.configurationRevision();
+        notice.evacuation = this->fleet.evacuationRevision();
+        notice.isZoneEvacuated = this->fleet.isEvacuated(agent.report.zone);
+    }
+    const ConfigurationPointer &configuration = this->fleet.configuration();
+    if (agent.hasReported() && configuration != nullptr) {
         notice.idleTimeout = configuration->idleTimeout;
         const auto limits = configuration->services.find(agent.report.service);
         if (limits != configuration->services.end())
--- a/mesh/gone_test.cpp
+++ b/mesh/gone_test.cpp
@@ -154,4 +154,33 @@
     BOOST_TEST(this->world.request("b1", callerOf(1), booking));
 }
 
+// A balancer that starts knows agents from its peers before it knows their services. It must not
+// state the limits of another or of no service.
+BOOST_AUTO_TEST_CASE(aNewBalancerDoesNotLiftTheBoundOfAColdServer)
+{
+    this->world.addBalancer("b2", "zone-a");
+    this->world.publish(configurationOf({ { booking, "booking" } }, 2));
+    this->world.run(2s);
+    for (const char *agent : { "a1", "a2" }) {
+        this->world.agent(agent).server.coldFor = 60s;
+        this->world.cut("b1", agent);
+        this->world.cut("b2", agent);
+    }
+    this->world.publish(configurationOf({ { booking, "booking" } }, 2));
+    this->world.run(1500ms);
+    for (const char *agent : { "a1", "a2" })
+        this->world.heal("b1", agent);
+    this->world.restartBalancer("b1");
+    this->world.run(2s);
+    this->world.agent("a1").server.openings.clear();
+    this->world.agent("a2").server.openings.clear();
+    for (std::uint16_t i = 0; i < 30; ++i) {
+        this->world.fromCaller("b1", opening(callerOf(i), booking));
+        this->world.run(10ms);
+    }
+    // 0.3 s at two flows a second.
+    BOOST_TEST(this->world.agent("a1").server.openings.size() <= 2u);
+    BOOST_TEST(this->world.agent("a2").server.openings.size() <= 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
