--- a/core/storecalls.cpp
+++ b/core/storecalls.cpp
@@ -16,20 +16,13 @@
 StoreCalls::StoreCalls(StoreCallOptions options)
     : settings(options)
     , random(options.seed)
-    , tokens(options.burst)
+    , budget(options.callsPerSecond, options.burst)
 { }
 
 std::optional<std::uint64_t> StoreCalls::start(TimePoint now)
 {
-    if (this->refilledAt) {
-        const std::chrono::duration<double> elapsed = now - *this->refilledAt;
-        this->tokens += elapsed.count() * this->settings.callsPerSecond;
-        this->tokens = std::min(this->tokens, this->settings.burst);
-    }
-    this->refilledAt = now;
-    if (this->tokens < 1)
+    if (!this->budget.take(1, now))
         return std::nullopt;
-    this->tokens -= 1;
     return this->nextId++;
 }
 
--- a/core/storecalls.h
+++ b/core/storecalls.h
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "core/outbox.h"
+#include "core/tokenbucket.h"
 
 // Calls to the store: identifiers, call budget, timeouts and backoff.
 //
@@ -55,8 +56,7 @@
     std::mt19937_64 random;
     std::uint64_t firstId = 1;
     std::uint64_t nextId = 1;
-    double tokens = 0;
-    std::optional<TimePoint> refilledAt;
+    TokenBucket budget;
 };
 
 class StoreSlot
--- a/core/types.cpp
+++ b/core/types.cpp
@@ -13,12 +13,17 @@
 }
 
 std::string toString(Endpoint endpoint)
+{
+    return hostOf(endpoint) + ":" + std::to_string(endpoint.port);
+}
+
+std::string hostOf(Endpoint endpoint)
 {
     in_addr address{};
     address.s_addr = htonl(endpoint.address);
     char text[INET_ADDRSTRLEN] = {};
     inet_ntop(AF_INET, &address, text, sizeof text);
-    return std::string(text) + ":" + std::to_string(endpoint.port);
+    return text;
 }
 
 bool parseEndpoint(std::string_view text, Endpoint &endpoint)
--- a/core/types.h
+++ b/core/types.h
@@ -83,6 +83,8 @@
 
 // "192.0.2.1:80"
 std::string toString(Endpoint endpoint);
+// The address alone: "192.0.2.1".
+std::string hostOf(Endpoint endpoint);
 // Returns false when the text isn't an IPv4 address and a port.
 bool parseEndpoint(std::string_view text, Endpoint &endpoint);
 
--- a/node/storeclient.cpp
+++ b/node/storeclient.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-std::string hostOf(Endpoint endpoint)
-{
-    const std::string text = toString(endpoint);
-    return text.substr(0, text.rfind(':'));
-}
-
 std::string quoted(std::uint64_t version)
 {
     return '"' + std::to_string(version) + '"';
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -23,13 +23,12 @@
         seeds.push_back(toString(Endpoint{ seed.address, controlPort }));
     json settings{ { "id", node.name },
                    { "zone", node.zone },
-                   { "address", toString(Endpoint{ node.address, 0 }) },
+                   { "address", hostOf({ node.address, 0 }) },
                    { "meshPort", meshPort },
                    { "packets", at(packetPort) },
                    { "control", at(controlPort) },
                    { "store", toString(fleet.store) },
                    { "seeds", seeds } };
-    settings["address"] = at(0).substr(0, at(0).find(':'));
     if (node.role == "balancer") {
         settings["readiness"] = at(readinessPort);
     } else {
--- a/standin/http.cpp
+++ b/standin/http.cpp
@@ -169,10 +169,4 @@
     return result->body;
 }
 
-std::string hostOf(Endpoint endpoint)
-{
-    const std::string text = toString(endpoint);
-    return text.substr(0, text.find(':'));
-}
-
 } // namespace cactusdeck
--- a/standin/http.h
+++ b/standin/http.h
@@ -45,9 +45,6 @@
 Result<std::string> httpCall(Endpoint endpoint, const std::string &method, const std::string &path,
                              const std::string &body);
 
-// "192.0.2.1"
-std::string hostOf(Endpoint endpoint);
-
 } // namespace cactusdeck
 
 #endif // CACTUSDECK_STANDIN_HTTP_H
