Send frames along hops in one place, cut searches into chains once

Found while reading the change: agents and balancers filled a frame's hops in five places, and the last of each chain was worked out once for the plan and again, by a search through all questions, when the chains were sent. sendAlong() in mesh/forwarding.h serves all five. A search's plan lists what it sends: questions and chains. The floor of service times is part of a service's means instead of being worked out for each agent. Behaviour stays, but that the questions of one search to silent agents no longer come after the others.

--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -149,6 +149,8 @@
         .requestsPerFlow = assumedRequestsPerFlow,
         .responseBytes = measuredBytes > 0 ? bytes / double(measuredBytes) : assumedResponseBytes
     };
+    means.fastest = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(means.serviceTime) * fastestShare);
     if (flows > 0 && requests > 0)
         means.requestsPerFlow = std::min(requests / flows, mostRequestsPerFlow);
     return means;
@@ -157,14 +159,12 @@
 Duration AgentDirectory::costOf(const Agent &agent, const ServiceMeans &means) const
 {
     const AgentReport &report = agent.report;
-    const auto fastest = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(means.serviceTime) * fastestShare);
     return expectedCost({ .slots = report.slots,
                           .flows = double(report.flows) + agent.placed,
                           .requestsInProgress = report.requestsInProgress,
-                          .serviceTime = report.serviceTime > Duration::zero()
-                                                 ? std::max<Duration>(report.serviceTime, fastest)
-                                                 : means.serviceTime,
+                          .serviceTime = report.serviceTime > Duration::zero() ? std::max<Duration>(
+                                                 report.serviceTime, means.fastest)
+                                                                               : means.serviceTime,
                           .requestsPerFlow = means.requestsPerFlow,
                           .isOtherZone = report.zone != this->options.zone,
                           .responseBytes = means.responseBytes,
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -111,6 +111,7 @@
     struct ServiceMeans
     {
         Duration serviceTime{};
+        Duration fastest{}; // what a service time counts as at least
         double requestsPerFlow = 0;
         double responseBytes = 0;
     };
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -1,6 +1,6 @@
 #include "mesh/agent.h"
 
-#include <algorithm>
+#include "mesh/forwarding.h"
 
 // The packet path of an agent: admission of new flows, packets of known ones, and the server's own.
 
@@ -137,15 +137,11 @@
     ++this->counts.passedOn;
     const unsigned flags = frameflag::newFlow | frameflag::replyWanted
                            | (mayBeTakenSoon ? frameflag::mayBeTakenSoon : 0);
-    ForwardFrame frame{ .flags = std::uint8_t(flags),
-                        .service = this->service,
-                        .patience = opening.patience,
-                        .replyTo = opening.balancer,
-                        .hopCount = std::uint8_t(std::min(remaining.size(), maxHops)) };
-    for (std::size_t i = 0; i < frame.hopCount; ++i)
-        frame.hops[i].agent = remaining[i];
-    FrameBuffer buffer;
-    sink.toNode(remaining.front(), encodeForward(frame, buffer), opening.packet);
+    sendAlong({ .flags = std::uint8_t(flags),
+                .service = this->service,
+                .patience = opening.patience,
+                .replyTo = opening.balancer },
+              remaining, opening.packet, sink);
 }
 
 void Agent::onEstablished(const ForwardFrame &frame, const Segment &segment, TimePoint now,
@@ -208,14 +204,8 @@
         this->reply(Verdict::UnknownFlow, segment.key, balancer, sink);
         return;
     }
-    ForwardFrame frame{ .flags = frameflag::probe,
-                        .service = this->service,
-                        .replyTo = balancer,
-                        .hopCount = std::uint8_t(std::min(remaining.size(), maxHops)) };
-    for (std::size_t i = 0; i < frame.hopCount; ++i)
-        frame.hops[i].agent = remaining[i];
-    FrameBuffer buffer;
-    sink.toNode(remaining.front(), encodeForward(frame, buffer), segment.bytes);
+    sendAlong({ .flags = frameflag::probe, .service = this->service, .replyTo = balancer },
+              remaining, segment.bytes, sink);
 }
 
 void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -169,16 +169,16 @@
     void onSearchDue(std::uint64_t flowHash, TimePoint now, Sink &sink);
     void probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink);
     void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
-    // Agents to be asked that are not waited for, and those that are probed in chains.
-    struct SearchExtras
+    // What a search sends. Silent agents are asked too, but their answers are not waited for.
+    struct SearchSends
     {
-        std::vector<AgentIndex> silent;
-        std::vector<AgentIndex> chained;
+        std::vector<AgentIndex> questions;
+        std::vector<std::vector<AgentIndex>> chains;
     };
     // Whom to ask for a flow, and who is ruled out by reports.
-    SearchPlan planSearch(const FlowKey &key, SearchExtras &extras, TimePoint now);
-    void planChains(const FlowKey &key, SearchPlan &plan, SearchExtras &extras,
-                    TimePoint now) const;
+    SearchPlan planSearch(const FlowKey &key, SearchSends &sends, TimePoint now);
+    static void planChains(const FlowKey &key, std::vector<AgentIndex> agents, SearchPlan &plan,
+                           SearchSends &sends, TimePoint now);
     void ask(AgentIndex agent, const Segment &segment, Sink &sink);
     // Does what the stage of a search asks for.
     void follow(std::uint64_t flowHash, SearchStage stage, TimePoint now, Sink &sink);
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -1,6 +1,9 @@
 #include "mesh/balancer.h"
 
 #include <algorithm>
+#include <array>
+
+#include "mesh/forwarding.h"
 
 // The packet path of a balancer: placing new flows, handing on known ones, and replies of agents.
 
@@ -147,15 +150,14 @@
     ForwardFrame frame{ .flags = frameflag::newFlow | frameflag::replyWanted,
                         .service = serviceIdOf(service),
                         .configuration = this->fleet.configurationRevision(),
-                        .replyTo = this->options.mesh,
-                        .hopCount = std::uint8_t(std::min(order.size(), placementHops)) };
-    for (std::size_t i = 0; i < frame.hopCount; ++i)
-        frame.hops[i].agent = this->directory.at(order[i].agent).endpoint;
+                        .replyTo = this->options.mesh };
+    std::vector<Endpoint> hops;
+    for (std::size_t i = 0; i < std::min(order.size(), placementHops); ++i)
+        hops.push_back(this->directory.at(order[i].agent).endpoint);
     if (order.size() > 1)
         frame.patience = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::max(Duration::zero(), order[1].cost - order[0].cost));
-    FrameBuffer buffer;
-    sink.toNode(frame.hops[0].agent, encodeForward(frame, buffer), segment.bytes);
+    sendAlong(frame, hops, segment.bytes, sink);
     this->directory.onPlaced(first, now);
     if (entry == nullptr)
         entry = &this->cache.insert(flowHash, stampOf(now));
@@ -216,15 +218,14 @@
                        std::uint8_t flags, Sink &sink)
 {
     const AgentDirectory::Agent &first = this->directory.at(agents.front());
-    ForwardFrame frame{ .flags = flags,
-                        .service = serviceIdOf(first.report.service),
-                        .configuration = this->fleet.configurationRevision(),
-                        .replyTo = this->options.mesh,
-                        .hopCount = std::uint8_t(agents.size()) };
-    for (std::size_t i = 0; i < agents.size(); ++i)
-        frame.hops[i].agent = this->directory.at(agents[i]).endpoint;
-    FrameBuffer buffer;
-    sink.toNode(first.endpoint, encodeForward(frame, buffer), segment.bytes);
+    std::array<Endpoint, maxHops> hops;
+    std::transform(agents.begin(), agents.end(), hops.begin(),
+                   [this](AgentIndex agent) { return this->directory.at(agent).endpoint; });
+    sendAlong({ .flags = flags,
+                .service = serviceIdOf(first.report.service),
+                .configuration = this->fleet.configurationRevision(),
+                .replyTo = this->options.mesh },
+              std::span(hops).first(agents.size()), segment.bytes, sink);
 }
 
 void Balancer::reset(const Segment &segment, const char *reason, std::uint64_t &counter, Sink &sink)
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include "mesh/forwarding.h"
+
 // How a balancer finds the agent of a flow that it does not remember.
 
 namespace cactusdeck::mesh {
@@ -14,9 +16,9 @@
         search->hold(segment.bytes);
         return;
     }
-    SearchExtras extras;
-    const SearchPlan plan = this->planSearch(segment.key, extras, now);
-    if (plan.asked.empty() && plan.unconfirmed.empty() && extras.silent.empty()) {
+    SearchSends sends;
+    const SearchPlan plan = this->planSearch(segment.key, sends, now);
+    if (sends.questions.empty() && sends.chains.empty() && plan.unconfirmed.empty()) {
         ++this->counts.dropped;
         sink.log(Level::Warning, "packet_dropped",
                  { { "flow", toString(segment.key) }, { "reason", "no_agent_known" } });
@@ -31,76 +33,72 @@
     }
     ++this->counts.searches;
     search->hold(segment.bytes);
-    for (const AgentIndex agent : plan.asked) {
-        if (std::find(extras.chained.begin(), extras.chained.end(), agent) == extras.chained.end())
-            this->ask(agent, segment, sink);
-    }
-    // Silent agents are not waited for.
-    for (const AgentIndex agent : extras.silent)
+    for (const AgentIndex agent : sends.questions)
         this->ask(agent, segment, sink);
-    for (std::span<const AgentIndex> rest = extras.chained; !rest.empty();) {
-        const std::size_t length = std::min(rest.size(), maxHops);
-        ++this->counts.probes;
-        this->forward(segment, rest.first(length), frameflag::probe, sink);
-        rest = rest.subspan(length);
-    }
+    this->counts.probes += sends.chains.size();
+    for (const std::vector<AgentIndex> &chain : sends.chains)
+        this->forward(segment, chain, frameflag::probe, sink);
 }
 
-SearchPlan Balancer::planSearch(const FlowKey &key, SearchExtras &extras, TimePoint now)
+SearchPlan Balancer::planSearch(const FlowKey &key, SearchSends &sends, TimePoint now)
 {
     // Of all services: the flow may be from before the route got its present ones.
     const std::vector<AgentIndex> holders = this->directory.holders();
     const Bucket bucket = bucketOf(hashOf(key));
     const bool isAskingAll = this->questions.take(double(holders.size()), now);
     SearchPlan plan;
+    std::vector<AgentIndex> chained;
     for (const AgentIndex agent : holders) {
         const AgentDirectory::Agent &entry = this->directory.at(agent);
         const bool isRuledOut = entry.report.knowsAllFlows && !entry.report.holdings.test(bucket);
         if (!this->directory.isResponding(entry, now)) {
             plan.isComplete = false;
             if (isAskingAll || !isRuledOut)
-                extras.silent.push_back(agent);
+                sends.questions.push_back(agent);
         } else if (isRuledOut && !isAskingAll) {
             plan.unconfirmed.push_back(agent);
         } else if (isAskingAll || entry.report.knowsAllFlows || !entry.hasReported()) {
             plan.asked.push_back(agent);
+            sends.questions.push_back(agent);
         } else if (this->mayHold(key, agent) && !this->fleet.isEvacuated(entry.report.zone)) {
             // Agents of evacuated domains hand packets on without asking their servers.
-            extras.chained.push_back(agent);
+            chained.push_back(agent);
         } else {
             plan.isComplete = false;
         }
     }
-    this->planChains(key, plan, extras, now);
+    planChains(key, std::move(chained), plan, sends, now);
     return plan;
 }
 
 // Agents that restarted after their servers can't answer; only the servers can. To ask each agent,
 // and then to give the packet to each, takes a hundred datagrams a flow from a balancer that, when
-// everything has restarted, looks for all its flows at once. Along a chain the agents do the work.
-void Balancer::planChains(const FlowKey &key, SearchPlan &plan, SearchExtras &extras,
-                          TimePoint now) const
+// everything has restarted, looks for all its flows at once. Along a chain the agents do the work,
+// and the last one answers.
+void Balancer::planChains(const FlowKey &key, std::vector<AgentIndex> agents, SearchPlan &plan,
+                          SearchSends &sends, TimePoint now)
 {
-    std::vector<AgentIndex> &chained = extras.chained;
-    if (chained.empty())
+    if (agents.empty())
         return;
     // Each try begins elsewhere, since a chain ends at an agent that has stopped.
     const std::uint64_t turn = hashOf(key) ^ std::uint64_t(now.time_since_epoch().count());
-    const auto first = std::ptrdiff_t(XXH3_64bits(&turn, sizeof turn) % chained.size());
-    std::rotate(chained.begin(), chained.begin() + first, chained.end());
+    const auto first = std::ptrdiff_t(XXH3_64bits(&turn, sizeof turn) % agents.size());
+    std::rotate(agents.begin(), agents.begin() + first, agents.end());
     plan.hasChains = true;
-    for (std::size_t begin = 0; begin < chained.size(); begin += maxHops)
-        plan.asked.push_back(chained[std::min(begin + maxHops, chained.size()) - 1]);
+    for (std::span<const AgentIndex> rest = agents; !rest.empty();) {
+        const auto chain = rest.first(std::min(rest.size(), maxHops));
+        plan.asked.push_back(chain.back());
+        sends.chains.emplace_back(chain.begin(), chain.end());
+        rest = rest.subspan(chain.size());
+    }
 }
 
 void Balancer::ask(AgentIndex agent, const Segment &segment, Sink &sink)
 {
     ++this->counts.questions;
-    ForwardFrame frame{ .flags = frameflag::locate, .replyTo = this->options.mesh, .hopCount = 1 };
-    frame.hops[0].agent = this->directory.at(agent).endpoint;
-    FrameBuffer buffer;
-    sink.toNode(frame.hops[0].agent, encodeForward(frame, buffer),
-                this->options.codec->head(segment));
+    const Endpoint endpoint = this->directory.at(agent).endpoint;
+    sendAlong({ .flags = frameflag::locate, .replyTo = this->options.mesh },
+              std::span(&endpoint, 1), this->options.codec->head(segment), sink);
 }
 
 bool Balancer::mayHold(const FlowKey &key, AgentIndex agent) const
