Share the soak's restarts, count only the seeds of a run

Found while reading the change: two faults killed nodes with the same loop and two started a server's next run with the same lines; killAll() and runAfter() serve them. tools/soak.sh added counts of earlier runs that lay in its folder; it sums the seeds of this run. The order of random draws stays, so seeds mean what they meant.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -255,24 +255,25 @@
     this->restartAfter(*node, this->between(100ms, 2500ms));
 }
 
-void Soak::killBalancers(TimePoint at)
+void Soak::killAll(bool withAgents, std::chrono::milliseconds least, std::chrono::milliseconds most)
 {
     for (std::size_t i = 0; i < this->fleet.size(); ++i) {
-        if (!this->fleet.isBalancer(i) || this->fleet.at(i).state != Fleet::State::Up)
+        if (this->fleet.at(i).state != Fleet::State::Up
+            || (!withAgents && !this->fleet.isBalancer(i)))
             continue;
-        this->fleet.kill(i, at);
-        this->restartAfter(i, this->between(100ms, 1000ms));
+        this->fleet.kill(i, this->now);
+        this->restartAfter(i, this->between(least, most));
     }
 }
 
-void Soak::killEverything(TimePoint at)
+void Soak::killBalancers(TimePoint)
 {
-    for (std::size_t i = 0; i < this->fleet.size(); ++i) {
-        if (this->fleet.at(i).state != Fleet::State::Up)
-            continue;
-        this->fleet.kill(i, at);
-        this->restartAfter(i, this->between(300ms, 1500ms));
-    }
+    this->killAll(false, 100ms, 1000ms);
+}
+
+void Soak::killEverything(TimePoint)
+{
+    this->killAll(true, 300ms, 1500ms);
 }
 
 void Soak::freezeNode(TimePoint at)
@@ -312,6 +313,14 @@
     });
 }
 
+void Soak::runAfter(Server &server, Duration delay, RunOptions run)
+{
+    this->after(delay, [this, &server, run](TimePoint at) {
+        server.startRun(at, run);
+        this->promises.log(at, "fault=run server=" + server.settings().name);
+    });
+}
+
 void Soak::crashServer(TimePoint at)
 {
     Server *server = this->steadyServer();
@@ -321,10 +330,7 @@
     this->promises.log(at, "fault=crash server=" + server->settings().name);
     const RunOptions next{ .coldFor = this->random() % 2 == 0 ? 4000ms : 0ms,
                            .keepsInstance = this->random() % 2 == 0 };
-    this->after(this->between(300ms, 2000ms), [this, server, next](TimePoint time) {
-        server->startRun(time, next);
-        this->promises.log(time, "fault=run server=" + server->settings().name);
-    });
+    this->runAfter(*server, this->between(300ms, 2000ms), next);
 }
 
 void Soak::drainServer(TimePoint at)
@@ -335,10 +341,7 @@
     server->beginDrain();
     this->promises.log(at, "fault=drain server=" + server->settings().name);
     // Without an acknowledgement it ends as well, some seconds later.
-    this->after(8000ms, [this, server](TimePoint time) {
-        server->startRun(time, { .coldFor = 3000ms });
-        this->promises.log(time, "fault=run server=" + server->settings().name);
-    });
+    this->runAfter(*server, 8000ms, { .coldFor = 3000ms });
 }
 
 void Soak::changeRoute(TimePoint at)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -64,6 +64,9 @@
     std::optional<std::size_t> steadyNode(bool isBalancer);
     Server *steadyServer();
     void restartAfter(std::size_t node, Duration delay);
+    // Kills the nodes that run, and starts each of them again after one of the times.
+    void killAll(bool withAgents, std::chrono::milliseconds least, std::chrono::milliseconds most);
+    void runAfter(Server &server, Duration delay, RunOptions run);
     void step();
     void runUntil(TimePoint end);
     void publish();
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -24,7 +24,7 @@
 }
 export -f runSeed
 seq "$first" "$last" | xargs -P "$atOnce" -I{} bash -c "runSeed {} $seconds" && status=0 || status=1
-cat build/soak/*.txt | grep -o 'event=promise.*' | sort | awk '
+seq -f 'build/soak/%g.txt' "$first" "$last" | xargs cat | grep -o 'event=promise.*' | sort | awk '
     { split($2, label, "="); split($3, checked, "="); split($4, broken, "=");
       checks[label[2]] += checked[2]; breaks[label[2]] += broken[2] }
     END { for (name in checks) print "promise=" name " checked=" checks[name] " broken=" breaks[name] }'
