Log probes of unknown flows and the resets that servers send

The logs could not tell the three hypotheses of the incident apart: an agent passed on a server's reset without a line. Each reset of a server now gets a line (server_reset: is the flow known here, is it open at this server, was a packet of it probed, how old is it) and each probe one (flow_probed); three counters go to the metrics page. What is passed on does not change.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -59,6 +59,9 @@
     std::uint64_t adopted = 0; // flows from before the agent's start
     std::uint64_t resetFlows = 0; // flows that the server no longer has
     std::uint64_t unknownFlow = 0;
+    std::uint64_t probes = 0; // packets of unknown flows sent to the server
+    std::uint64_t serverResets = 0; // resets sent by the server
+    std::uint64_t serverResetsUnknown = 0; // the part of serverResets for flows not known here
     std::uint64_t droppedEvacuated = 0;
     std::uint64_t droppedEarlierFlow = 0; // late packets of the server
     std::uint64_t malformed = 0;
@@ -187,6 +190,7 @@
                        const Segment &segment, Sink &sink);
     void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
     void onBounce(const Segment &segment, TimePoint now, Sink &sink);
+    void logServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink);
     void onNotice(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
     std::optional<Decline> checkAdmission(TimePoint now) const;
     // The time that a request of one more flow is expected to wait at the server.
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -199,6 +199,12 @@
         return;
     }
     // The server may have the flow from before the agent's start. If not, it bounces the packet.
+    ++this->counts.probes;
+    sink.log(Level::Info, "flow_probed",
+             { { "flow", toString(segment.key) },
+               { "bytes", std::to_string(segment.payloadLength) },
+               { "phase", std::to_string(int(this->record.phase())) },
+               { "balancer", toString(frame.replyTo) } });
     this->probes[segment.key] = { .balancer = frame.replyTo,
                                   .sentAt = now,
                                   .remaining = hopsAfter(frame) };
@@ -265,6 +271,8 @@
                  { { "flow", toString(key) }, { "reason", "earlier_flow" } });
         return;
     }
+    if (segment->has(tcpflag::rst))
+        this->logServerReset(key, flow, now, sink);
     if (flow != nullptr) {
         const bool wasAnswered = flow->isAnswered;
         this->flows.onServer(*flow, *segment, this->record.slots(), now);
@@ -275,6 +283,21 @@
     sink.toCaller(segment->key.destination, segment->bytes);
 }
 
+void Agent::logServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink)
+{
+    ++this->counts.serverResets;
+    this->counts.serverResetsUnknown += flow == nullptr ? 1 : 0;
+    const Duration age = flow == nullptr ? Duration::zero() : now - flow->openedAt;
+    sink.log(Level::Info, "server_reset",
+             { { "flow", toString(key) },
+               { "known", flow == nullptr ? "no" : "yes" },
+               { "open", flow != nullptr && flow->isOpen ? "yes" : "no" },
+               { "probed", this->probes.contains(key) ? "yes" : "no" },
+               { "age_ms",
+                 std::to_string(
+                         std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) } });
+}
+
 void Agent::onBounce(const Segment &segment, TimePoint now, Sink &sink)
 {
     ++this->counts.bounced;
