--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -228,6 +228,12 @@
         server.unknownFlowPackets += segment.isOpening() ? 0 : 1;
         Head head = headOf(segment);
         head.isBounced = true;
+        if (server.resetsUnknownFlows && !segment.isOpening())
+            head = { .source = segment.key.destination,
+                     .destination = segment.key.source,
+                     .sequence = segment.acknowledgement,
+                     .acknowledgement = segment.sequence,
+                     .flags = tcpflag::rst | tcpflag::ack };
         answer(head);
         return;
     }
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -51,6 +51,7 @@
     bool timesOutWhenDown = false; // when down, connections time out instead of being refused
     bool isDraining = false;
     bool isFull = false;
+    bool resetsUnknownFlows = false; // instead of bouncing their packets
     std::chrono::milliseconds coldFor{ 0 };
     std::map<FlowKey, Flow> flows;
     std::vector<TimePoint> openings; // when flows were accepted
