Drop resets of servers for flows that are not open there

Cause: a balancer that does not know a flow asks the agents; an agent that started after its server, or has not heard it yet, gives the packet to the server as a probe. It took any answer but a returned packet for the flow's own: a reset went to the caller, although it only says that this server does not have the flow, and the search never reached the server that has. Class of fault: an answer to a question is passed on as if it came from the owner.

Change: a reset of a server reaches the caller only if the agent knows the flow and the caller has opened it at this server. The reset of a probed packet counts like a returned one: the packet, which a reset does not bring back, is kept with the probe (up to 512, 1.2 KB each) and goes on to the next agent, or the balancer gets "unknown". If no server has the flow, the balancer resets it as before, once every agent has said so.

Ruled out: a reset by a balancer or an agent (no flow_reset line); a half-open flow at a second server (the agent did not know the flow). Not known: why this server does not return the packet.

A reset of a server for a flow from before its agent's restart is dropped too unless the flow has been adopted; the caller learns of the end by its next packet, which no server has.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -61,7 +61,7 @@
     std::uint64_t unknownFlow = 0;
     std::uint64_t probes = 0; // packets of unknown flows sent to the server
     std::uint64_t serverResets = 0; // resets sent by the server
-    std::uint64_t serverResetsUnknown = 0; // the part of serverResets for flows not known here
+    std::uint64_t droppedResets = 0; // the part of serverResets for flows not open at the server
     std::uint64_t droppedEvacuated = 0;
     std::uint64_t droppedEarlierFlow = 0; // late packets of the server
     std::uint64_t malformed = 0;
@@ -144,6 +144,8 @@
     static constexpr std::chrono::milliseconds directoryDelay{ 1500 };
     // Time for which a probe is kept; the server answers or bounces the packet within it.
     static constexpr std::chrono::seconds probeTimeout{ 2 };
+    // While there are more probes than this, their packets (1.2 KB) are not kept.
+    static constexpr std::size_t maxKeptProbePackets = 512;
     // Used until there are measurements: a server that is busy before it has answered a request is
     // slow or has just started.
     static constexpr std::chrono::milliseconds assumedServiceTime{ 30 };
@@ -159,6 +161,9 @@
         Endpoint balancer;
         TimePoint sentAt;
         std::vector<Endpoint> remaining; // agents that get the packet if the server bounces it
+        // Kept only if there are agents remaining, since a server that resets a packet does not
+        // return it.
+        std::vector<std::uint8_t> packet;
     };
 
     // Why the agent does not admit a new flow at the moment.
@@ -190,7 +195,9 @@
                        const Segment &segment, Sink &sink);
     void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
     void onBounce(const Segment &segment, TimePoint now, Sink &sink);
-    void logServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink);
+    // Returns true if the reset is for the caller, which it is only if the flow is open at the
+    // server.
+    bool onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink);
     void onNotice(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
     std::optional<Decline> checkAdmission(TimePoint now) const;
     // The time that a request of one more flow is expected to wait at the server.
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -205,9 +205,10 @@
                { "bytes", std::to_string(segment.payloadLength) },
                { "phase", std::to_string(int(this->record.phase())) },
                { "balancer", toString(frame.replyTo) } });
-    this->probes[segment.key] = { .balancer = frame.replyTo,
-                                  .sentAt = now,
-                                  .remaining = hopsAfter(frame) };
+    Probe probe{ .balancer = frame.replyTo, .sentAt = now, .remaining = hopsAfter(frame) };
+    if (!probe.remaining.empty() && this->probes.size() < maxKeptProbePackets)
+        probe.packet.assign(segment.bytes.begin(), segment.bytes.end());
+    this->probes[segment.key] = std::move(probe);
     this->sendToServer(segment.bytes, now, sink);
 }
 
@@ -271,31 +272,46 @@
                  { { "flow", toString(key) }, { "reason", "earlier_flow" } });
         return;
     }
-    if (segment->has(tcpflag::rst))
-        this->logServerReset(key, flow, now, sink);
+    const bool isForCaller =
+            !segment->has(tcpflag::rst) || this->onServerReset(key, flow, now, sink);
     if (flow != nullptr) {
         const bool wasAnswered = flow->isAnswered;
         this->flows.onServer(*flow, *segment, this->record.slots(), now);
         if (segment->isOpeningAnswer() && !wasAnswered)
             this->reply(Verdict::Accepted, key, flow->balancer, sink);
     }
+    if (!isForCaller)
+        return;
     ++this->counts.toCaller;
     sink.toCaller(segment->key.destination, segment->bytes);
 }
 
-void Agent::logServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink)
+bool Agent::onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink)
 {
-    ++this->counts.serverResets;
-    this->counts.serverResetsUnknown += flow == nullptr ? 1 : 0;
+    const bool isOpen = flow != nullptr && flow->isOpen;
+    const auto it = this->probes.find(key);
     const Duration age = flow == nullptr ? Duration::zero() : now - flow->openedAt;
+    ++this->counts.serverResets;
+    this->counts.droppedResets += isOpen ? 0 : 1;
     sink.log(Level::Info, "server_reset",
              { { "flow", toString(key) },
                { "known", flow == nullptr ? "no" : "yes" },
-               { "open", flow != nullptr && flow->isOpen ? "yes" : "no" },
-               { "probed", this->probes.contains(key) ? "yes" : "no" },
+               { "open", isOpen ? "yes" : "no" },
+               { "probed", it == this->probes.end() ? "no" : "yes" },
                { "age_ms",
                  std::to_string(
-                         std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) } });
+                         std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) },
+               { "passed_on", isOpen ? "yes" : "no" } });
+    if (isOpen || it == this->probes.end())
+        return isOpen;
+    // The server does not have the probed flow, or no longer; another server may.
+    const Probe probe = std::move(it->second);
+    this->probes.erase(it);
+    if (probe.remaining.empty())
+        this->reply(Verdict::UnknownFlow, key, probe.balancer, sink);
+    else if (const auto packet = this->options.codec->parse(probe.packet))
+        this->continueProbe(probe.remaining, probe.balancer, *packet, sink);
+    return false;
 }
 
 void Agent::onBounce(const Segment &segment, TimePoint now, Sink &sink)
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -35,6 +35,17 @@
         return node.server;
     }
 
+    // The server of the agent resets the flow of callerOf(1).
+    void resetFromServer(const std::string &agent, std::uint32_t sequence)
+    {
+        World::AgentNode &node = this->world.agent(agent);
+        node.agent->onServerPacket(encodeSegment({ .source = booking,
+                                                   .destination = callerOf(1),
+                                                   .sequence = sequence,
+                                                   .flags = tcpflag::rst }),
+                                   this->world.now, *node.sink);
+    }
+
     World world;
 };
 
@@ -52,4 +63,54 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
 }
 
+// Without the packet, which a reset does not return, the search would end at the server that resets
+// and not reach the flow's own server behind it.
+BOOST_AUTO_TEST_CASE(findsAFlowBehindAServerThatResets)
+{
+    this->addServerThatResets("a3");
+    for (std::uint16_t port = 1; port <= 4; ++port)
+        BOOST_TEST(this->world.openFlow("b2", callerOf(port), booking) == "a2");
+    // Now only the server of a2 knows the flows; b1 asks a2 and a3 through a chain.
+    this->world.restartAgent("a2");
+    this->world.restartBalancer("b1");
+    this->world.run(2s);
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        BOOST_TEST(this->world.request("b1", callerOf(port), booking));
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 0u);
+    }
+}
+
+// A server that accepted a copy of the opening packet, and whose answer the caller did not choose,
+// may reset the flow on its side.
+BOOST_AUTO_TEST_CASE(keepsAFlowThatAnotherServerResetsHalfOpen)
+{
+    this->world.fromCaller("b1", opening(callerOf(1), booking));
+    this->world.fromCaller("b2", opening(callerOf(1), booking));
+    this->world.run(20ms);
+    const std::vector<World::ToCaller> answers = this->world.packetsTo(callerOf(1));
+    BOOST_TEST_REQUIRE(answers.size() == 2u);
+    BOOST_TEST_REQUIRE(answers[0].sender != answers[1].sender);
+    this->world.fromCaller("b1", { .source = callerOf(1),
+                                   .destination = booking,
+                                   .sequence = 78,
+                                   .acknowledgement = answers[0].segment.sequence + 1,
+                                   .flags = tcpflag::ack });
+    this->world.run(10ms);
+    this->resetFromServer(answers[1].sender, answers[1].segment.sequence + 1);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    // The reset of the server that the caller chose is for the caller.
+    this->resetFromServer(answers[0].sender, answers[0].segment.sequence + 1);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+}
+
+// An agent that has restarted does not know which flow a reset of its server belongs to.
+BOOST_AUTO_TEST_CASE(dropsAResetOfAFlowThatItDoesNotKnow)
+{
+    BOOST_TEST(this->world.openFlow("b2", callerOf(1), booking) == "a2");
+    this->world.restartAgent("a1");
+    this->resetFromServer("a1", 1);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(this->world.agent("a1").agent->counters().droppedResets == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
