Don't adopt a flow whose FIN a probed server only acknowledges

Found by looking for the cause of the resets elsewhere (an answer to a probe taken for the owner's): a server acknowledges the FIN of a flow that has ended there. An agent that restarted beside such a server adopted the flow for that acknowledgement and told the balancer that it owns it, also if the ended flow was an earlier one of the same addresses and ports. The own server of the open flow then never got the FIN.

Change: a bare acknowledgement of a probed FIN adopts nothing. It still goes to the caller.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -161,6 +161,7 @@
         Endpoint balancer;
         TimePoint sentAt;
         std::vector<Endpoint> remaining; // agents that get the packet if the server bounces it
+        bool isClosing = false; // the packet finishes the flow
         // Kept only if there are agents remaining, since a server that resets a packet does not
         // return it.
         std::vector<std::uint8_t> packet;
@@ -195,6 +196,8 @@
                        const Segment &segment, Sink &sink);
     void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
     void onBounce(const Segment &segment, TimePoint now, Sink &sink);
+    // True if the packet shows that the server has a flow from before the agent's start.
+    bool provesOwnership(const FlowKey &key, const Segment &serverPacket) const;
     // Returns true if the reset is for the caller, which it is only if the flow is open at the
     // server.
     bool onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink);
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -205,7 +205,10 @@
                { "bytes", std::to_string(segment.payloadLength) },
                { "phase", std::to_string(int(this->record.phase())) },
                { "balancer", toString(frame.replyTo) } });
-    Probe probe{ .balancer = frame.replyTo, .sentAt = now, .remaining = hopsAfter(frame) };
+    Probe probe{ .balancer = frame.replyTo,
+                 .sentAt = now,
+                 .remaining = hopsAfter(frame),
+                 .isClosing = segment.has(tcpflag::fin) };
     if (!probe.remaining.empty() && this->probes.size() < maxKeptProbePackets)
         probe.packet.assign(segment.bytes.begin(), segment.bytes.end());
     this->probes[segment.key] = std::move(probe);
@@ -254,9 +257,7 @@
     }
     const FlowKey key = segment->key.reversed();
     ServerFlow *flow = this->flows.find(key);
-    const bool isAdoptable = !this->record.startedAfterAgent() && !segment->has(tcpflag::rst)
-                             && !segment->isOpeningAnswer();
-    if (flow == nullptr && isAdoptable) {
+    if (flow == nullptr && this->provesOwnership(key, *segment)) {
         flow = &this->flows.adopt(key, now);
         ++this->counts.adopted;
         if (const auto it = this->probes.find(key); it != this->probes.end()) {
@@ -286,6 +287,18 @@
     sink.toCaller(segment->key.destination, segment->bytes);
 }
 
+bool Agent::provesOwnership(const FlowKey &key, const Segment &serverPacket) const
+{
+    if (this->record.startedAfterAgent() || serverPacket.has(tcpflag::rst)
+        || serverPacket.isOpeningAnswer())
+        return false;
+    // A server also acknowledges the end of a flow that has ended there, which may be an earlier
+    // flow of the same addresses and ports.
+    const auto probe = this->probes.find(key);
+    const bool isBare = serverPacket.payloadLength == 0 && !serverPacket.has(tcpflag::fin);
+    return !isBare || probe == this->probes.end() || !probe->second.isClosing;
+}
+
 bool Agent::onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink)
 {
     const bool isOpen = flow != nullptr && flow->isOpen;
--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -226,9 +226,16 @@
     const auto held = server.flows.find(segment.key);
     if (held == server.flows.end() && (!segment.isOpening() || server.isFull)) {
         server.unknownFlowPackets += segment.isOpening() ? 0 : 1;
+        const bool hasEnded = !segment.isOpening() && server.ended.contains(segment.key);
         Head head = headOf(segment);
         head.isBounced = true;
-        if (server.resetsUnknownFlows && !segment.isOpening())
+        if (hasEnded && segment.has(tcpflag::fin))
+            head = { .source = segment.key.destination,
+                     .destination = segment.key.source,
+                     .sequence = segment.acknowledgement,
+                     .acknowledgement = segment.sequence + 1,
+                     .flags = tcpflag::ack };
+        else if (hasEnded || (server.resetsUnknownFlows && !segment.isOpening()))
             head = { .source = segment.key.destination,
                      .destination = segment.key.source,
                      .sequence = segment.acknowledgement,
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -35,7 +35,7 @@
 }
 
 // A simulated backend server that follows the platform's rules: it bounces packets of flows that it
-// does not have, and opening packets when it is full.
+// does not have, and opening packets when it is full. Tests add flows that have ended there.
 struct Server
 {
     struct Flow
@@ -52,6 +52,7 @@
     bool isDraining = false;
     bool isFull = false;
     bool resetsUnknownFlows = false; // instead of bouncing their packets
+    std::set<FlowKey> ended; // flows whose FINs are acknowledged and whose data is reset
     std::chrono::milliseconds coldFor{ 0 };
     std::map<FlowKey, Flow> flows;
     std::vector<TimePoint> openings; // when flows were accepted
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -103,6 +103,28 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
 }
 
+// The FIN of an open flow went to a server that had an earlier flow of the same addresses and ports
+// and acknowledged it; the flow's own server never got it.
+BOOST_AUTO_TEST_CASE(aFinReachesTheOwnServerOfAFlowThatReusesPorts)
+{
+    const FlowKey key{ .source = callerOf(1), .destination = booking };
+    this->addServerThatResets("a3").ended.insert(key);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    const World::ToCaller answer = this->world.packetsTo(callerOf(1)).front();
+    const Server::Flow &own = this->world.agent("a1").server.flows.at(key);
+    const std::uint64_t before = own.packets;
+    for (int copy = 0; copy < 2; ++copy) {
+        this->world.fromCaller("b2", { .source = callerOf(1),
+                                       .destination = booking,
+                                       .sequence = 78,
+                                       .acknowledgement = answer.segment.sequence + 1,
+                                       .flags = tcpflag::fin | tcpflag::ack });
+        this->world.run(200ms);
+    }
+    BOOST_TEST(own.packets == before + 2);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 // An agent that has restarted does not know which flow a reset of its server belongs to.
 BOOST_AUTO_TEST_CASE(dropsAResetOfAFlowThatItDoesNotKnow)
 {
