Don't adopt a packet of a later flow for an ended flow of the same ports

Found by looking for the cause of the resets elsewhere (a server that does not have a flow answers for it): an agent keeps an ended flow for 5 s, so that late retransmissions still reach their server. A caller that opens a flow with the same addresses and ports in that time, at another server, and whose packets a balancer has to search for, was given to the ended flow's agent: the agent claimed to own the flow, passed the packet to its server, and the server's reset for the ended flow went to the caller.

Change: a packet that acknowledges a number which the server did not reach in the ended flow belongs to a later flow. The agent neither claims nor delivers it, and the search goes on. A reset of the caller acknowledges nothing and still goes to the ended flow's server.

Test, failing before (no response, 2 resets) and passing now: unownedFlow/keepsAFlowThatReusesPortsOfAnEndedOne.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -175,12 +175,14 @@
         this->onUnknown(frame, segment, now, sink);
         return;
     }
+    const bool isOfOtherServer =
+            flow->isOpen ? flow->isFollowedBy(segment) : !flow->isAcknowledgedBy(segment);
+    if (isOfOtherServer) {
+        // The caller has acknowledged the opening answer of another server.
+        this->continueProbe(hopsAfter(frame), frame.replyTo, segment, sink);
+        return;
+    }
     if (!flow->isOpen) {
-        if (!flow->isAcknowledgedBy(segment)) {
-            // The caller has acknowledged the opening answer of another server.
-            this->continueProbe(hopsAfter(frame), frame.replyTo, segment, sink);
-            return;
-        }
         flow->isOpen = true;
         this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
     } else if (flow->balancer != frame.replyTo || frame.has(frameflag::replyWanted)) {
@@ -229,7 +231,9 @@
 void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
 {
     const ServerFlow *flow = this->flows.find(segment.key);
-    const bool isOwner = flow != nullptr && (flow->isOpen || flow->isAcknowledgedBy(segment));
+    const bool isOwner =
+            flow != nullptr
+            && (flow->isOpen ? !flow->isFollowedBy(segment) : flow->isAcknowledgedBy(segment));
     Verdict verdict = Verdict::Owner;
     if (!isOwner)
         verdict = flow != nullptr || this->knowsAllFlows() ? Verdict::UnknownFlow : Verdict::Unsure;
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -35,6 +35,14 @@
            > this->serverNext - this->serverSequence + serverWindow;
 }
 
+bool ServerFlow::isFollowedBy(const Segment &callerPacket) const
+{
+    // A reset need not acknowledge anything.
+    return this->hasEnded && this->openingSequence && !callerPacket.has(tcpflag::rst)
+           && callerPacket.acknowledgement - this->serverSequence
+                      > this->serverNext - this->serverSequence + serverWindow;
+}
+
 ServerFlow *ServerFlows::find(const FlowKey &key)
 {
     const auto it = this->flows.find(key);
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -55,6 +55,9 @@
     // True for a packet of the server that belongs to an earlier flow of the same addresses and
     // ports: its sequence number is none that the server can use in this flow.
     bool isPrecededBy(const Segment &serverPacket) const;
+    // True if this flow has ended and the caller's packet belongs to a later flow of the same
+    // addresses and ports: it acknowledges a number that the server did not reach in this flow.
+    bool isFollowedBy(const Segment &callerPacket) const;
 };
 
 class ServerFlows
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -125,6 +125,29 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
 }
 
+// A flow was given to the server that had had an earlier flow of the same addresses and ports, and
+// was reset there.
+BOOST_AUTO_TEST_CASE(keepsAFlowThatReusesPortsOfAnEndedOne)
+{
+    const FlowKey key{ .source = callerOf(1), .destination = booking };
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.fromCaller("b1", { .source = callerOf(1),
+                                   .destination = booking,
+                                   .sequence = 78,
+                                   .flags = tcpflag::rst });
+    this->world.run(10ms);
+    Server &former = this->world.agent("a1").server;
+    former.flows.erase(key);
+    former.ended.insert(key);
+    this->world.fromCaller("b2", opening(callerOf(1), booking));
+    this->world.run(10ms);
+    BOOST_TEST(this->world.packetsTo(callerOf(1)).back().sender == "a2");
+    // The cache of b1 still names a1, so the first copy of the packet may be lost.
+    this->world.request("b1", callerOf(1), booking);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 // An agent that has restarted does not know which flow a reset of its server belongs to.
 BOOST_AUTO_TEST_CASE(dropsAResetOfAFlowThatItDoesNotKnow)
 {
