Log the era of the store and configurations that a reader refuses

The logs could not tell whether a reader gets a change after a restore of the store. Readers now read the era that each answer of the store carries and log its changes (store_era), and log each configuration that they refuse as not newer (configuration_refused). HTTP answers keep their headers for that; the header's name stays in platform/. What is adopted does not change.

--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -24,6 +24,9 @@
 namespace cactusdeck::mesh {
 
 using Revision = std::uint64_t; // store revision; 0: nothing known
+// How often the store has been restored from a copy. A restored store has lost its latest changes
+// and gives out their revisions again.
+using StoreEra = std::uint64_t;
 
 struct WeightedService
 {
--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -99,6 +99,7 @@
 
 bool StateReader::onResult(const StoreResult &result, TimePoint now, FleetState &state, Sink &sink)
 {
+    this->noticeEra(result, sink);
     if (result.query.isProbe) {
         this->onProbe(result, now, sink);
         return false;
@@ -133,6 +134,19 @@
     return this->apply(result, state, sink);
 }
 
+void StateReader::noticeEra(const StoreResult &result, Sink &sink)
+{
+    if (result.era <= this->era)
+        return;
+    sink.log(Level::Info, "store_era",
+             { { "era", std::to_string(result.era) },
+               { "previous", std::to_string(this->era) },
+               { "probe", result.query.isProbe ? "yes" : "no" },
+               { "store_revision", std::to_string(result.asOf) },
+               { "seen_revision", std::to_string(this->seenRevision) } });
+    this->era = result.era;
+}
+
 void StateReader::onProbe(const StoreResult &result, TimePoint now, Sink &sink)
 {
     if (this->probes.pendingQuery != result.query.id)
@@ -230,9 +244,15 @@
 {
     bool isChanged = false;
     for (const StoreObject &object : result.objects) {
-        if (object.name != configurationObject || object.isDeleted
-            || object.revision <= state.configurationRevision())
+        if (object.name != configurationObject || object.isDeleted)
             continue;
+        if (object.revision <= state.configurationRevision()) {
+            sink.log(Level::Info, "configuration_refused",
+                     { { "revision", std::to_string(object.revision) },
+                       { "era", std::to_string(result.era) },
+                       { "kept", std::to_string(state.configurationRevision()) } });
+            continue;
+        }
         const std::optional<FleetConfiguration> decoded = this->decodeConfiguration(object.content);
         if (!decoded) {
             sink.log(Level::Error, "configuration_unreadable",
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -64,6 +64,7 @@
 {
     StoreQuery query;
     StoreResultKind kind = StoreResultKind::Failed;
+    StoreEra era = 0; // of the store when it answered, also if it refused
     Revision asOf = 0;
     std::vector<StoreObject> objects;
 };
@@ -137,6 +138,7 @@
     bool apply(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyConfiguration(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyEvacuations(const StoreResult &result, FleetState &state);
+    void noticeEra(const StoreResult &result, Sink &sink);
     void onAnswer(Channel &channel, const StoreResult &result, TimePoint now, Sink &sink);
     void onFailure(Channel &channel, const StoreResult &result, TimePoint now, Sink &sink);
     void backOff(Channel &channel, std::chrono::milliseconds limit, TimePoint now);
@@ -149,6 +151,7 @@
     // No answer to the last query. Topics are not queried until a probe is answered.
     bool isStoreDoubted = false;
     Revision seenRevision = 0; // newest revision of the store in any answer
+    StoreEra era = 0; // newest in any answer
     std::set<ZoneName> zones; // as of the last answer
     bool active = false;
     TimePoint answeredAt{};
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -112,22 +112,27 @@
         this->loop.call({ .to = this->settings.store,
                           .target = platform::queryTarget(query),
                           .timeout = query.timeout },
-                        [this, query](unsigned status, const std::string &body, TimePoint now) {
+                        [this, query](const HttpAnswer &answer, TimePoint now) {
+                            const platform::StoreResponse response{
+                                .status = answer.status,
+                                .era = answer.header(platform::storeEraHeader),
+                                .body = answer.body
+                            };
                             this->balancer.onStoreResult(
-                                    platform::decodeStoreResult(query, status, body), now,
-                                    this->loop);
+                                    platform::decodeStoreResult(query, response), now, this->loop);
                         });
     }
 
     void fetchState(Endpoint peer)
     {
-        this->loop.call({ .to = peer, .target = std::string(stateTarget), .timeout = fetchTimeout },
-                        [this, peer](unsigned status, const std::string &body, TimePoint now) {
-                            if (status != 200)
-                                return this->balancer.onFetchFailed(peer, now, this->loop);
-                            const auto *bytes = reinterpret_cast<const std::uint8_t *>(body.data());
-                            this->balancer.onFetched(peer, { bytes, body.size() }, now, this->loop);
-                        });
+        this->loop.call(
+                { .to = peer, .target = std::string(stateTarget), .timeout = fetchTimeout },
+                [this, peer](const HttpAnswer &answer, TimePoint now) {
+                    if (answer.status != 200)
+                        return this->balancer.onFetchFailed(peer, now, this->loop);
+                    const auto *bytes = reinterpret_cast<const std::uint8_t *>(answer.body.data());
+                    this->balancer.onFetched(peer, { bytes, answer.body.size() }, now, this->loop);
+                });
     }
 
     // Writes the directory entry. Replaces the entry of an earlier run with another mesh endpoint.
@@ -140,15 +145,16 @@
                   .target = platform::directoryTarget(),
                   .body = platform::encodeDirectoryEntry(this->settings.id, this->settings.mesh),
                   .timeout = registrationTimeout },
-                [this](unsigned status, const std::string &body, TimePoint) {
-                    const bool isWritten = status >= 200 && status < 300;
+                [this](const HttpAnswer &answer, TimePoint) {
+                    const bool isWritten = answer.status >= 200 && answer.status < 300;
+                    const bool isTaken = answer.status == 409;
                     if (isWritten
-                        || (status == 409 && platform::isSameEntry(body, this->settings.mesh)))
+                        || (isTaken && platform::isSameEntry(answer.body, this->settings.mesh)))
                         this->isRegistered = true;
-                    else if (status == 409)
+                    else if (isTaken)
                         this->replaceEntry();
                     else
-                        this->logRegistrationFailure(status);
+                        this->logRegistrationFailure(answer.status);
                 });
     }
 
@@ -160,10 +166,10 @@
                   .target = platform::directoryEntryTarget(this->settings.id),
                   .body = platform::encodeDirectoryEntry(this->settings.id, this->settings.mesh),
                   .timeout = registrationTimeout },
-                [this](unsigned status, const std::string &, TimePoint) {
-                    this->isRegistered = status >= 200 && status < 300;
+                [this](const HttpAnswer &answer, TimePoint) {
+                    this->isRegistered = answer.status >= 200 && answer.status < 300;
                     if (!this->isRegistered)
-                        this->logRegistrationFailure(status);
+                        this->logRegistrationFailure(answer.status);
                 });
     }
 
--- a/meshd/eventloop.cpp
+++ b/meshd/eventloop.cpp
@@ -144,25 +144,25 @@
     this->call({ .to = this->options.store,
                  .target = platform::directoryListTarget(),
                  .timeout = directoryTimeout },
-               [this](unsigned status, const std::string &body, TimePoint answeredAt) {
+               [this](const HttpAnswer &answer, TimePoint answeredAt) {
                    this->isDirectoryQueryPending = false;
                    this->nextDirectoryQuery = answeredAt + this->directoryInterval;
                    this->directoryInterval =
                            std::min(this->directoryInterval * 2, maxDirectoryInterval);
-                   if (status == 200)
-                       this->handlers.onDirectory(platform::decodeDirectory(body), answeredAt);
+                   if (answer.status == 200)
+                       this->handlers.onDirectory(platform::decodeDirectory(answer.body),
+                                                  answeredAt);
                    else
                        this->log(Level::Warning, "directory_unreachable",
-                                 { { "status", std::to_string(status) } });
+                                 { { "status", std::to_string(answer.status) } });
                });
 }
 
-void EventLoop::call(HttpCall httpCall,
-                     std::function<void(unsigned, std::string, TimePoint)> callback)
+void EventLoop::call(HttpCall httpCall, std::function<void(const HttpAnswer &, TimePoint)> callback)
 {
     callHttp(this->io, std::move(httpCall),
-             [this, callback = std::move(callback)](unsigned status, std::string body) {
-                 callback(status, std::move(body), now());
+             [this, callback = std::move(callback)](const HttpAnswer &answer) {
+                 callback(answer, now());
                  this->finishEvent();
              });
 }
--- a/meshd/eventloop.h
+++ b/meshd/eventloop.h
@@ -75,7 +75,7 @@
     void run();
 
     // Starts an HTTP call. The callback runs as an event of the loop.
-    void call(HttpCall httpCall, std::function<void(unsigned, std::string, TimePoint)> callback);
+    void call(HttpCall httpCall, std::function<void(const HttpAnswer &, TimePoint)> callback);
     // Tries to open a TCP connection and closes it at once. The callback gets the outcome.
     void tryConnect(Endpoint endpoint, Duration timeout,
                     std::function<void(mesh::ConnectOutcome, TimePoint)> callback);
--- a/meshd/http.cpp
+++ b/meshd/http.cpp
@@ -79,7 +79,7 @@
     void onConnected(beast::error_code error)
     {
         if (error)
-            return this->finish(0, "");
+            return this->finish({});
         setKeepAlive(this->stream.socket());
         http::async_write(this->stream, this->request,
                           [self = this->shared_from_this()](beast::error_code e, std::size_t) {
@@ -90,7 +90,7 @@
     void onWritten(beast::error_code error)
     {
         if (error)
-            return this->finish(0, "");
+            return this->finish({});
         http::async_read(this->stream, this->buffer, this->parser,
                          [self = this->shared_from_this()](beast::error_code e, std::size_t) {
                              self->onRead(e);
@@ -100,16 +100,19 @@
     void onRead(beast::error_code error)
     {
         if (error)
-            return this->finish(0, "");
+            return this->finish({});
         auto response = this->parser.release();
-        this->finish(response.result_int(), std::move(response.body()));
+        HttpAnswer answer{ .status = response.result_int(), .body = std::move(response.body()) };
+        for (const auto &field : response)
+            answer.headers.emplace_back(field.name_string(), field.value());
+        this->finish(std::move(answer));
     }
 
-    void finish(unsigned status, std::string body)
+    void finish(HttpAnswer answer)
     {
         beast::error_code ignored; // the result of the call is known already
         this->stream.socket().close(ignored);
-        this->callback(status, std::move(body));
+        this->callback(std::move(answer));
     }
 
     HttpCall call;
@@ -122,6 +125,16 @@
 
 } // namespace
 
+std::string_view HttpAnswer::header(std::string_view name) const
+{
+    for (const auto &[key, value] : this->headers) {
+        if (beast::iequals(beast::string_view(key.data(), key.size()),
+                           beast::string_view(name.data(), name.size())))
+            return value;
+    }
+    return {};
+}
+
 void callHttp(asio::io_context &io, HttpCall call, HttpCallback callback)
 {
     std::make_shared<ClientCall>(io, std::move(call), std::move(callback))->start();
--- a/meshd/http.h
+++ b/meshd/http.h
@@ -4,6 +4,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,7 +19,7 @@
 //     HttpServer server(io, handler); // handler: HttpResponse(const HttpRequest &)
 //     BOOST_LEAF_CHECK(server.listen(endpoint));
 //     callHttp(io, { .to = store, .target = "/...", .timeout = 2s },
-//              [](unsigned status, std::string body) { ... });
+//              [](HttpAnswer answer) { ... });
 
 namespace cactusdeck::meshd {
 
@@ -65,8 +68,18 @@
     Duration timeout{}; // for the whole call, including the connection set-up
 };
 
-// status is 0 if no complete response arrived before the timeout.
-using HttpCallback = std::function<void(unsigned status, std::string body)>;
+struct HttpAnswer
+{
+    unsigned status = 0; // 0: no complete response arrived before the timeout
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+
+    // The value of a header, or an empty string if the response has none of this name. Upper and
+    // lower case of the name are the same.
+    std::string_view header(std::string_view name) const;
+};
+
+using HttpCallback = std::function<void(HttpAnswer)>;
 
 void callHttp(boost::asio::io_context &io, HttpCall call, HttpCallback callback);
 
--- a/meshd/meshd_test.cpp
+++ b/meshd/meshd_test.cpp
@@ -213,12 +213,12 @@
         BOOST_FAIL("no free port");
     }
 
-    std::pair<unsigned, std::string> call(HttpCall request)
+    HttpAnswer call(HttpCall request)
     {
-        std::pair<unsigned, std::string> answer{ 999, "" };
+        HttpAnswer answer{ .status = 999 };
         request.to = this->endpoint;
-        callHttp(this->io, std::move(request), [&](unsigned status, std::string body) {
-            answer = { status, std::move(body) };
+        callHttp(this->io, std::move(request), [&](HttpAnswer received) {
+            answer = std::move(received);
             this->io.stop();
         });
         this->io.restart();
@@ -238,18 +238,20 @@
 
 BOOST_FIXTURE_TEST_CASE(returnsTheHandlersResponse, HttpFixture)
 {
-    const auto answer =
+    const HttpAnswer answer =
             this->call({ .method = "POST", .target = "/x", .body = "text", .timeout = 2s });
-    BOOST_TEST(answer.first == 200u);
-    BOOST_TEST(answer.second == "POST text");
-    BOOST_TEST(this->call({ .target = "/missing", .timeout = 2s }).first == 404u);
+    BOOST_TEST(answer.status == 200u);
+    BOOST_TEST(answer.body == "POST text");
+    BOOST_TEST(answer.header("content-TYPE") == "application/json");
+    BOOST_TEST(answer.header("Content").empty());
+    BOOST_TEST(this->call({ .target = "/missing", .timeout = 2s }).status == 404u);
 }
 
 BOOST_FIXTURE_TEST_CASE(rejectsOversizedRequestBody, HttpFixture)
 {
-    const auto answer = this->call(
+    const HttpAnswer answer = this->call(
             { .method = "POST", .target = "/x", .body = std::string(1 << 20, 'x'), .timeout = 2s });
-    BOOST_TEST(answer.first == 0u);
+    BOOST_TEST(answer.status == 0u);
 }
 
 BOOST_AUTO_TEST_CASE(callToAClosedPortReportsStatusZero)
@@ -258,7 +260,7 @@
     unsigned status = 999;
     // Nothing listens on port 9 (discard), so the connection is refused.
     callHttp(io, { .to = { 0x7F000001u, 9 }, .target = "/", .timeout = 200ms },
-             [&](unsigned result, const std::string &) { status = result; });
+             [&](const HttpAnswer &answer) { status = answer.status; });
     io.run_for(3s);
     BOOST_TEST(status == 0u);
 }
