--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -165,15 +165,22 @@
 
 void World::publish(const FleetConfiguration &next)
 {
-    this->configuration = next;
+    this->store.configuration = next;
     published()[next.version] = next;
-    this->configurationRevision = ++this->revision;
+    this->store.configurationRevision = ++this->store.revision;
 }
 
 void World::setEvacuated(std::set<ZoneName> evacuated)
 {
-    this->zones = std::move(evacuated);
-    this->zonesRevision = ++this->revision;
+    this->store.zones = std::move(evacuated);
+    this->store.zonesRevision = ++this->store.revision;
+}
+
+void World::restoreStore(const StoreContent &copy)
+{
+    this->store = copy;
+    ++this->storeEra;
+    this->loseWatches();
 }
 
 void World::loseWatches()
@@ -317,24 +324,31 @@
 std::optional<StoreResult> World::resultOf(const WaitingQuery &waiting, bool hasStore) const
 {
     const StoreQuery &query = waiting.query;
-    StoreResult result{ .query = query, .asOf = this->revision };
+    StoreResult result{ .query = query, .era = this->storeEra, .asOf = this->store.revision };
     if (!hasStore)
-        return result;
+        return StoreResult{ .query = query };
     if (waiting.isLost)
-        return this->now < waiting.timeout ? std::nullopt : std::optional(result);
+        return this->now < waiting.timeout ? std::nullopt
+                                           : std::optional(StoreResult{ .query = query });
+    if (query.since > this->store.revision) {
+        result.kind = StoreResultKind::HistoryLost;
+        return result;
+    }
     const bool isConfiguration = query.topic == StoreTopic::Configuration;
-    const Revision changed = isConfiguration ? this->configurationRevision : this->zonesRevision;
+    const Revision changed =
+            isConfiguration ? this->store.configurationRevision : this->store.zonesRevision;
     if (query.since != 0 && changed <= query.since && this->now < waiting.until)
         return std::nullopt;
     result.kind = StoreResultKind::Answered;
-    if (isConfiguration && this->configuration && changed > query.since)
-        result.objects.push_back({ .name = "main",
-                                   .revision = changed,
-                                   .content = { { "version", this->configuration->version } } });
+    if (isConfiguration && this->store.configuration && changed > query.since)
+        result.objects.push_back(
+                { .name = "main",
+                  .revision = changed,
+                  .content = { { "version", this->store.configuration->version } } });
     if (!isConfiguration) {
         // Answer every query as a list, since the fake store has no events of single zones.
         result.query.since = 0;
-        for (const ZoneName &zone : this->zones)
+        for (const ZoneName &zone : this->store.zones)
             result.objects.push_back({ .name = zone.value, .revision = changed });
     }
     return result;
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -111,6 +111,19 @@
     // The store's answers to all queries in progress are lost.
     void loseWatches();
 
+    // The objects in the store.
+    struct StoreContent
+    {
+        Revision revision = 1;
+        Revision configurationRevision = 0;
+        std::optional<FleetConfiguration> configuration;
+        Revision zonesRevision = 1;
+        std::set<ZoneName> zones;
+    };
+    StoreContent copyStore() const { return this->store; }
+    // The store starts a new era with the content of an earlier copy. Queries in progress are lost.
+    void restoreStore(const StoreContent &copy);
+
     void run(Duration duration);
     // Cut and restore the link between two nodes in both directions.
     void cut(const std::string &a, const std::string &b) { this->cuts.insert(pairOf(a, b)); }
@@ -188,11 +201,8 @@
     std::set<std::pair<std::string, std::string>> cuts;
     std::deque<Delivery> deliveries;
     std::map<std::string, std::vector<WaitingQuery>> waiting; // by balancer
-    Revision revision = 1;
-    Revision configurationRevision = 0;
-    std::optional<FleetConfiguration> configuration;
-    Revision zonesRevision = 1;
-    std::set<ZoneName> zones;
+    StoreContent store;
+    StoreEra storeEra = 1;
     std::uint32_t hosts = 0;
     std::uint32_t serverSequence = 1000;
 };
