Order configurations by their version instead of the store's revision

Cause: the state of the fleet was ordered by the store's revisions, on every path: the adoption of a reader's answer, hellos, fetches between balancers, and notices to agents. After a restore revisions go back and are given out again, so each new configuration looked older than the one from before the restore. Class of fault: a counter of one history orders the states of another.

Change: configurations are ordered by the version that the operators give them. It rises with each configuration and is written again with the configuration, so it means the same before and after a restore, from the store and from a peer of either history. A restored store that still has an older version does not replace the one in force: the version was acknowledged and the operator writes it again; until then readers log configuration_refused with both versions. Version 0 counts as unreadable. Hellos, notices and /state carry the version in the place of the revision; nodes of an older build read it as a revision.

Metric configuration_revision is gone; configuration_version is what is compared.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -150,7 +150,7 @@
         if (notice.idleTimeout > std::chrono::milliseconds::zero())
             this->idleTimeout = notice.idleTimeout;
         sink.log(Level::Info, "limits_changed",
-                 { { "revision", std::to_string(this->configuration) },
+                 { { "configuration", std::to_string(this->configuration) },
                    { "connections", std::to_string(this->limits.connections) },
                    { "cold_flows_per_second", std::to_string(this->limits.coldFlowsPerSecond) },
                    { "idle_ms", std::to_string(this->idleTimeout.count()) } });
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -248,7 +248,7 @@
     std::unordered_map<FlowKey, Probe, FlowKeyHash> probes;
     AgentCounters counts;
     Traffic sent;
-    Revision configuration = 0;
+    ConfigurationVersion configuration = 0; // that the limits are from; 0: none known
     Revision evacuation = 0;
     ServiceLimits limits;
     std::chrono::milliseconds idleTimeout = defaultIdleTimeout;
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -73,9 +73,9 @@
 {
     BalancerNotice notice{ .zone = this->options.zone };
     // Until the agent has reported, its service and failure domain are not known, so the notice
-    // keeps revision 0, which an agent ignores.
+    // states that nothing is known.
     if (agent.hasReported()) {
-        notice.configuration = this->fleet.configurationRevision();
+        notice.configuration = this->fleet.configurationVersion();
         notice.evacuation = this->fleet.evacuationRevision();
         notice.isZoneEvacuated = this->fleet.isEvacuated(agent.report.zone);
     }
@@ -142,8 +142,7 @@
     const ConfigurationPointer &configuration = this->fleet.configuration();
     sink.log(Level::Info, "state_changed",
              { { "source", source },
-               { "configuration", std::to_string(configuration ? configuration->version : 0) },
-               { "revision", std::to_string(this->fleet.configurationRevision()) },
+               { "configuration", std::to_string(this->fleet.configurationVersion()) },
                { "routes", std::to_string(configuration ? configuration->routes.size() : 0) },
                { "evacuated", zones },
                { "evacuation_revision", std::to_string(this->fleet.evacuationRevision()) } });
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -182,7 +182,7 @@
         bool isStoreReachable = true;
         bool isReader = false;
         bool isNew = false;
-        Revision configuration = 0;
+        ConfigurationVersion configuration = 0;
         Revision evacuation = 0;
     };
 
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -150,7 +150,7 @@
     const AgentIndex first = order.front().agent;
     ForwardFrame frame{ .flags = frameflag::newFlow | frameflag::replyWanted,
                         .service = serviceIdOf(service),
-                        .configuration = this->fleet.configurationRevision(),
+                        .configuration = this->fleet.configurationVersion(),
                         .replyTo = this->options.mesh };
     std::vector<Endpoint> hops;
     for (std::size_t i = 0; i < std::min(order.size(), placementHops); ++i)
@@ -180,7 +180,7 @@
                { "in_zone", isInZone ? "yes" : "no" },
                { "candidates", std::to_string(order.size()) },
                { "flows", std::to_string(agent.report.flows) },
-               { "configuration", std::to_string(this->fleet.configuration()->version) } });
+               { "configuration", std::to_string(this->fleet.configurationVersion()) } });
 }
 
 void Balancer::onEstablished(const Segment &segment, TimePoint now, Sink &sink)
@@ -233,7 +233,7 @@
                    [this](AgentIndex agent) { return this->directory.at(agent).endpoint; });
     sendToHops({ .flags = flags,
                  .service = serviceIdOf(first.report.service),
-                 .configuration = this->fleet.configurationRevision(),
+                 .configuration = this->fleet.configurationVersion(),
                  .replyTo = this->options.mesh },
                std::span(hops).first(agents.size()), segment.bytes, sink);
 }
@@ -247,10 +247,7 @@
              { { "flow", toString(segment.key) },
                { "reason", reason },
                { "opening", segment.isOpening() ? "yes" : "no" },
-               { "configuration",
-                 std::to_string(this->fleet.configuration() == nullptr
-                                        ? 0
-                                        : this->fleet.configuration()->version) } });
+               { "configuration", std::to_string(this->fleet.configurationVersion()) } });
     sink.toCaller(segment.key.source, this->options.codec->resetFor(segment));
 }
 
--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -65,7 +65,7 @@
     this->greet(this->peers.add(hello.balancers, now), now, sink);
     this->onContacts(hello, now, sink);
     this->chooseFetch(now);
-    const bool isOlder = hello.configuration < this->fleet.configurationRevision()
+    const bool isOlder = hello.configuration < this->fleet.configurationVersion()
                          || hello.evacuation < this->fleet.evacuationRevision();
     if (isOlder || hello.wantsAnswer)
         this->answerHello(hello, from, now, sink);
@@ -129,7 +129,7 @@
         this->directory.addFromPeer(agent, now);
     this->hasAgentList = true;
     PeerState &fetched = this->peerStates[peer];
-    fetched.configuration = decoded->configurationRevision();
+    fetched.configuration = decoded->configurationVersion();
     fetched.evacuation = decoded->evacuationRevision();
     if (this->fleet.adopt(*decoded))
         this->onStateChanged("peer", now, sink);
@@ -140,7 +140,7 @@
 {
     const auto it = this->peerStates.find(peer);
     return it != this->peerStates.end()
-           && (it->second.configuration > this->fleet.configurationRevision()
+           && (it->second.configuration > this->fleet.configurationVersion()
                || it->second.evacuation > this->fleet.evacuationRevision());
 }
 
@@ -216,7 +216,7 @@
     const bool isHome = this->peers.isHome(to);
     return { .name = this->options.name,
              .zone = this->options.zone,
-             .configuration = this->fleet.configurationRevision(),
+             .configuration = this->fleet.configurationVersion(),
              .evacuation = this->fleet.evacuationRevision(),
              .isStoreReachable = this->storeReader.isReachable(),
              .isLeaving = this->isStopping,
--- a/mesh/control_test.cpp
+++ b/mesh/control_test.cpp
@@ -147,9 +147,9 @@
     FleetState state;
     const auto newer = std::make_shared<FleetConfiguration>(FleetConfiguration{ .version = 9 });
     const auto older = std::make_shared<FleetConfiguration>(FleetConfiguration{ .version = 7 });
-    BOOST_TEST(state.adoptConfiguration(20, newer));
-    BOOST_TEST(!state.adoptConfiguration(15, older));
-    BOOST_TEST(!state.adoptConfiguration(20, older));
+    BOOST_TEST(state.adoptConfiguration(newer));
+    BOOST_TEST(!state.adoptConfiguration(older));
+    BOOST_TEST(!state.adoptConfiguration(newer));
     BOOST_TEST(state.configuration()->version == 9u);
 }
 
@@ -158,12 +158,12 @@
     FleetState state;
     FleetConfiguration configuration = configurationOf({ { booking, "booking" } }, 2.5);
     configuration.routes[booking].targets.push_back({ ServiceName{ "ticket" }, 10 });
-    state.adoptConfiguration(20, std::make_shared<FleetConfiguration>(configuration));
+    state.adoptConfiguration(std::make_shared<FleetConfiguration>(configuration));
     state.adoptEvacuations(21, { ZoneName{ "zone-b" } });
     const std::vector<std::uint8_t> bytes = state.encode();
     const std::optional<FleetState> copy = FleetState::decode(bytes);
     BOOST_REQUIRE(copy.has_value());
-    BOOST_TEST(copy->configurationRevision() == 20u);
+    BOOST_TEST(copy->configurationVersion() == configuration.version);
     BOOST_TEST(copy->evacuationRevision() == 21u);
     BOOST_TEST(copy->isEvacuated(ZoneName{ "zone-b" }));
     BOOST_TEST(copy->configuration()->routes.at(booking).targets.size() == 2u);
--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -76,9 +76,9 @@
                        [&](const WeightedService &target) { return target.service == service; });
 }
 
-bool FleetState::adoptConfiguration(Revision revision, ConfigurationPointer configuration)
+bool FleetState::adoptConfiguration(ConfigurationPointer configuration)
 {
-    if (configuration == nullptr || revision <= this->routesRevision)
+    if (configuration == nullptr || configuration->version <= this->configurationVersion())
         return false;
     if (this->routes != nullptr) {
         for (const auto &[address, route] : this->routes->routes) {
@@ -94,7 +94,6 @@
             this->droppedAddresses.erase(address);
     }
     this->routes = std::move(configuration);
-    this->routesRevision = revision;
     return true;
 }
 
@@ -123,7 +122,7 @@
 
 bool FleetState::adopt(const FleetState &other)
 {
-    const bool isConfigurationNew = this->adoptConfiguration(other.routesRevision, other.routes);
+    const bool isConfigurationNew = this->adoptConfiguration(other.routes);
     const bool areZonesNew = this->adoptEvacuations(other.zonesRevision, other.zones);
     // The same zones with a newer revision: take over the revision too, otherwise the two nodes
     // would keep fetching each other's state.
@@ -143,10 +142,8 @@
     document["former"] = json::array();
     for (const auto &[address, services] : this->formerTargets)
         document["former"].push_back(json::array({ address, services }));
-    if (this->routes != nullptr) {
-        document["revision"] = this->routesRevision;
+    if (this->routes != nullptr)
         document["configuration"] = toJson(*this->routes);
-    }
     return json::to_cbor(document);
 }
 
@@ -160,10 +157,8 @@
             state.zones.insert(zone.get<ZoneName>());
         for (const json &entry : document.at("former"))
             entry.at(1).get_to(state.formerTargets[entry.at(0).get<Endpoint>()]);
-        if (document.contains("configuration")) {
-            document.at("revision").get_to(state.routesRevision);
+        if (document.contains("configuration"))
             state.routes = configurationFrom(document.at("configuration"));
-        }
         return state;
     } catch (const json::exception &) {
         // The calling code logs which peer sent the malformed state.
--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -13,12 +13,13 @@
 
 #include "core/types.h"
 
-// The state that operators set: routes, service limits, and evacuated failure domains. The
-// configuration and the evacuations each carry the store revision of their last change and are
-// replaced only by a newer revision, so a node never reverts to older state, whatever its source.
+// The state that operators set: routes, service limits, and evacuated failure domains. It is
+// replaced only by newer state, so a node never reverts, whatever the source. The configuration is
+// ordered by the operators' version number, which also holds across a restore of the store, and the
+// evacuations by the store revision of their last change.
 //
 //     FleetState state;
-//     if (state.adoptConfiguration(revision, configuration))
+//     if (state.adoptConfiguration(configuration))
 //         sendToPeers(state.encode());
 
 namespace cactusdeck::mesh {
@@ -54,7 +55,7 @@
 
 struct FleetConfiguration
 {
-    std::uint64_t version = 0;
+    ConfigurationVersion version = 0; // above 0
     std::unordered_map<Endpoint, Route> routes;
     std::map<ServiceName, ServiceLimits> services;
     std::chrono::milliseconds idleTimeout{ 0 };
@@ -65,15 +66,19 @@
 class FleetState
 {
 public:
-    // Returns false if the revision is not newer than the one in force.
-    bool adoptConfiguration(Revision revision, ConfigurationPointer configuration);
+    // Returns false if the version is not newer than the one in force.
+    bool adoptConfiguration(ConfigurationPointer configuration);
     // Returns false if nothing changes.
     bool adoptEvacuations(Revision revision, std::set<ZoneName> zones);
     // Adopts the parts of the other state that are newer. Returns true if there were any.
     bool adopt(const FleetState &other);
 
     const ConfigurationPointer &configuration() const { return this->routes; }
-    Revision configurationRevision() const { return this->routesRevision; }
+    // 0: no configuration is known.
+    ConfigurationVersion configurationVersion() const
+    {
+        return this->routes == nullptr ? 0 : this->routes->version;
+    }
     Revision evacuationRevision() const { return this->zonesRevision; }
     const std::set<ZoneName> &evacuated() const { return this->zones; }
     bool isEvacuated(const ZoneName &zone) const { return this->zones.contains(zone); }
@@ -89,7 +94,6 @@
 
 private:
     ConfigurationPointer routes; // null until a configuration is known
-    Revision routesRevision = 0;
     std::set<ZoneName> zones;
     Revision zonesRevision = 0;
     std::set<Endpoint> droppedAddresses;
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -26,7 +26,7 @@
 {
     NodeId name;
     ZoneName zone;
-    Revision configuration = 0;
+    ConfigurationVersion configuration = 0; // 0: none known
     Revision evacuation = 0;
     bool isStoreReachable = false;
     bool isLeaving = false;
@@ -75,7 +75,7 @@
 // Sent from a balancer to an agent, in response to a report and when the balancer's state changes.
 struct BalancerNotice
 {
-    Revision configuration = 0;
+    ConfigurationVersion configuration = 0; // 0: none known
     Revision evacuation = 0;
     bool isZoneEvacuated = false; // the agent's zone
     ServiceLimits limits; // of the agent's service
--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -246,22 +246,22 @@
     for (const StoreObject &object : result.objects) {
         if (object.name != configurationObject || object.isDeleted)
             continue;
-        if (object.revision <= state.configurationRevision()) {
-            sink.log(Level::Info, "configuration_refused",
-                     { { "revision", std::to_string(object.revision) },
-                       { "era", std::to_string(result.era) },
-                       { "kept", std::to_string(state.configurationRevision()) } });
-            continue;
-        }
         const std::optional<FleetConfiguration> decoded = this->decodeConfiguration(object.content);
-        if (!decoded) {
+        if (!decoded || decoded->version == 0) {
             sink.log(Level::Error, "configuration_unreadable",
                      { { "revision", std::to_string(object.revision) },
-                       { "kept", std::to_string(state.configurationRevision()) } });
+                       { "kept", std::to_string(state.configurationVersion()) } });
+            continue;
+        }
+        if (decoded->version < state.configurationVersion()) {
+            sink.log(Level::Warning, "configuration_refused",
+                     { { "configuration", std::to_string(decoded->version) },
+                       { "kept", std::to_string(state.configurationVersion()) },
+                       { "era", std::to_string(result.era) },
+                       { "revision", std::to_string(object.revision) } });
             continue;
         }
-        isChanged |= state.adoptConfiguration(object.revision,
-                                              std::make_shared<const FleetConfiguration>(*decoded));
+        isChanged |= state.adoptConfiguration(std::make_shared<const FleetConfiguration>(*decoded));
     }
     return isChanged;
 }
--- a/meshd/metricstext.cpp
+++ b/meshd/metricstext.cpp
@@ -119,9 +119,7 @@
     text.add(balancerCounters, balancer.counters());
     text.add(balancer.traffic());
     const mesh::FleetState &state = balancer.state();
-    text.add("configuration_version",
-             state.configuration() == nullptr ? 0 : state.configuration()->version);
-    text.add("configuration_revision", state.configurationRevision());
+    text.add("configuration_version", state.configurationVersion());
     text.add("evacuation_revision", state.evacuationRevision());
     text.add("zones_evacuated", state.evacuated().size());
     text.add("agents_known", balancer.agents().possibleOwners().size());
