List all objects again when the store's era changes

Cause: a reader of the store goes on from the revision that it knows. After a restore the store has given that revision out again, so a watch from it succeeds and leaves out all changes between the copy and that revision; single evacuations among them are missed for good. The newest revision that the reader has seen also stays above that of the restored store, so probes do not notice a watch that has gone silent until the store has caught up.

Change: an answer of a newer era makes the reader list both topics again and forget the newest revision. An answer of an older era than another one, of a suspended reader or a store server that lags, is not applied; that of a probe still shows that the store answers.

Ruled out: relying on 410 for a watch from a revision that the store does not have; the restored store may have reached that revision before the watch is opened.

--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -26,12 +26,17 @@
         return;
     // Changes during the inactive time are unknown and the store's history may not reach back that
     // far, so list everything again.
-    for (Topic &topic : this->topics)
-        topic = { { .nextAt = now, .backoff = firstBackoff } };
+    this->listAll(now);
     this->probes = { .nextAt = now + probeInterval, .backoff = firstProbeBackoff };
     this->isStoreDoubted = false;
 }
 
+void StateReader::listAll(TimePoint now)
+{
+    for (Topic &topic : this->topics)
+        topic = { { .nextAt = now, .backoff = firstBackoff } };
+}
+
 bool StateReader::isReachable() const
 {
     return this->probes.failures < failureLimit
@@ -99,7 +104,7 @@
 
 bool StateReader::onResult(const StoreResult &result, TimePoint now, FleetState &state, Sink &sink)
 {
-    this->noticeEra(result, sink);
+    this->noticeEra(result, now, sink);
     if (result.query.isProbe) {
         this->onProbe(result, now, sink);
         return false;
@@ -108,7 +113,7 @@
     if (topic.pendingQuery != result.query.id)
         return false; // given up; the query that replaced it reports the same changes
     topic.nextAt = now;
-    if (result.kind == StoreResultKind::Failed) {
+    if (result.kind == StoreResultKind::Failed || this->isOfEarlierEra(result)) {
         this->onFailure(topic, result, now, sink);
         return false;
     }
@@ -134,7 +139,12 @@
     return this->apply(result, state, sink);
 }
 
-void StateReader::noticeEra(const StoreResult &result, Sink &sink)
+bool StateReader::isOfEarlierEra(const StoreResult &result) const
+{
+    return result.era != 0 && result.era < this->era;
+}
+
+void StateReader::noticeEra(const StoreResult &result, TimePoint now, Sink &sink)
 {
     if (result.era <= this->era)
         return;
@@ -144,7 +154,12 @@
                { "probe", result.query.isProbe ? "yes" : "no" },
                { "store_revision", std::to_string(result.asOf) },
                { "seen_revision", std::to_string(this->seenRevision) } });
+    const bool isRestored = this->era != 0;
     this->era = result.era;
+    if (!isRestored)
+        return;
+    this->seenRevision = 0;
+    this->listAll(now);
 }
 
 void StateReader::onProbe(const StoreResult &result, TimePoint now, Sink &sink)
@@ -156,7 +171,8 @@
         this->isStoreDoubted = false;
         this->probes.backoff = firstProbeBackoff;
         this->probes.nextAt = now + probeInterval + this->jitterOf(probeInterval / 5);
-        this->checkWatches(result, now, sink);
+        if (!this->isOfEarlierEra(result))
+            this->checkWatches(result, now, sink);
         return;
     }
     this->onFailure(this->probes, result, now, sink);
@@ -196,7 +212,8 @@
     channel.pendingQuery = 0;
     channel.failures = 0;
     this->answeredAt = now;
-    this->seenRevision = std::max(this->seenRevision, result.asOf);
+    if (!this->isOfEarlierEra(result))
+        this->seenRevision = std::max(this->seenRevision, result.asOf);
     if (!wasReachable && this->isReachable())
         sink.log(Level::Info, "store_regained",
                  { { "topic", topicNames[std::size_t(result.query.topic)] } });
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -26,6 +26,10 @@
 // an answer, the watches are given up and nothing but probes is sent until one is answered. If the
 // store is past the revision that a watch should have reported, the watch is opened again.
 //
+// An answer of a newer era means that the store was restored from a copy: the revisions that the
+// reader knows may now stand for other changes, so it lists all topics again. An answer of an older
+// era than that of another answer is late and is ignored.
+//
 //     for (const StoreQuery &query : reader.takeQueries(now))
 //         client.send(query);
 //     if (reader.onResult(result, now, state, sink))
@@ -138,7 +142,10 @@
     bool apply(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyConfiguration(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyEvacuations(const StoreResult &result, FleetState &state);
-    void noticeEra(const StoreResult &result, Sink &sink);
+    // All queries so far have been given up, and both topics are to be listed.
+    void listAll(TimePoint now);
+    void noticeEra(const StoreResult &result, TimePoint now, Sink &sink);
+    bool isOfEarlierEra(const StoreResult &result) const;
     void onAnswer(Channel &channel, const StoreResult &result, TimePoint now, Sink &sink);
     void onFailure(Channel &channel, const StoreResult &result, TimePoint now, Sink &sink);
     void backOff(Channel &channel, std::chrono::milliseconds limit, TimePoint now);
@@ -150,7 +157,7 @@
     Channel probes;
     // No answer to the last query. Topics are not queried until a probe is answered.
     bool isStoreDoubted = false;
-    Revision seenRevision = 0; // newest revision of the store in any answer
+    Revision seenRevision = 0; // newest revision of the store in any answer of the era
     StoreEra era = 0; // newest in any answer
     std::set<ZoneName> zones; // as of the last answer
     bool active = false;
--- a/mesh/statereader_test.cpp
+++ b/mesh/statereader_test.cpp
@@ -36,6 +36,8 @@
         this->reader.setActive(true, this->now);
     }
 
+    bool isEvacuated(const std::string &name) { return this->state.isEvacuated(ZoneName{ name }); }
+
     StoreQuery query(StoreTopic topic)
     {
         for (const StoreQuery &query : this->reader.takeQueries(this->now))
@@ -47,6 +49,7 @@
     {
         return this->reader.onResult({ .query = this->query(topic),
                                        .kind = StoreResultKind::Answered,
+                                       .era = this->era,
                                        .asOf = asOf,
                                        .objects = std::move(objects) },
                                      this->now, this->state, this->sink);
@@ -55,8 +58,10 @@
     // Waits for the next probe and answers it.
     void answerProbe(Revision asOf, std::vector<StoreObject> zones = {})
     {
-        this->finishProbe(
-                { .kind = StoreResultKind::Answered, .asOf = asOf, .objects = std::move(zones) });
+        this->finishProbe({ .kind = StoreResultKind::Answered,
+                            .era = this->era,
+                            .asOf = asOf,
+                            .objects = std::move(zones) });
     }
     void failProbe() { this->finishProbe({}); }
 
@@ -72,6 +77,7 @@
     }
 
     TimePoint now{ 1h };
+    StoreEra era = 1;
     std::array<StoreQuery, storeTopicCount> asked;
     StoreQuery probe;
     StateReader reader;
@@ -143,10 +149,10 @@
 {
     BOOST_TEST(this->answer(StoreTopic::Evacuations, 10, { zone("a") }));
     BOOST_TEST(this->answer(StoreTopic::Evacuations, 12, { zone("b") }));
-    BOOST_TEST(this->state.isEvacuated(ZoneName{ "a" }));
-    BOOST_TEST(this->state.isEvacuated(ZoneName{ "b" }));
+    BOOST_TEST(this->isEvacuated("a"));
+    BOOST_TEST(this->isEvacuated("b"));
     BOOST_TEST(this->answer(StoreTopic::Evacuations, 15, { zone("a", true) }));
-    BOOST_TEST(!this->state.isEvacuated(ZoneName{ "a" }));
+    BOOST_TEST(!this->isEvacuated("a"));
     BOOST_TEST(!this->answer(StoreTopic::Evacuations, 16));
 }
 
@@ -192,7 +198,7 @@
                                         .asOf = 41,
                                         .objects = { zone("late") } },
                                       this->now, this->state, this->sink));
-    BOOST_TEST(!this->state.isEvacuated(ZoneName{ "late" }));
+    BOOST_TEST(!this->isEvacuated("late"));
     BOOST_TEST(this->answer(StoreTopic::Evacuations, 42, { zone("a") }));
 }
 
@@ -257,6 +263,85 @@
     BOOST_TEST((this->now - lostAt < 1700ms));
 }
 
+// Revisions of the earlier era stand for other changes after a restore of the store.
+BOOST_AUTO_TEST_CASE(listsAllTopicsInANewEra)
+{
+    this->answer(StoreTopic::Configuration, 40);
+    this->answer(StoreTopic::Evacuations, 40, { zone("a") });
+    const StoreQuery watch = this->query(StoreTopic::Evacuations);
+    this->era = 2;
+    this->answerProbe(41, { zone("a"), zone("b") });
+    BOOST_TEST(this->query(StoreTopic::Configuration).since == 0u);
+    BOOST_TEST(this->query(StoreTopic::Evacuations).since == 0u);
+    // The watch of the earlier era does not report what happened since.
+    BOOST_TEST(!this->reader.onResult({ .query = watch,
+                                        .kind = StoreResultKind::Answered,
+                                        .era = 2,
+                                        .asOf = 41,
+                                        .objects = { zone("c") } },
+                                      this->now, this->state, this->sink));
+    BOOST_TEST(!this->isEvacuated("c"));
+    BOOST_TEST(this->answer(StoreTopic::Evacuations, 41, { zone("a"), zone("b") }));
+    BOOST_TEST(this->isEvacuated("a"));
+    BOOST_TEST(this->isEvacuated("b"));
+    // The new era starts below the last revision of the earlier one; its changes are noticed.
+    this->answer(StoreTopic::Configuration, 30);
+    const StoreQuery next = this->query(StoreTopic::Configuration);
+    BOOST_TEST(next.since == 30u);
+}
+
+// A watch that reports its changes in a newer era may have missed others.
+BOOST_AUTO_TEST_CASE(listsAgainWhenAWatchEndsInANewEra)
+{
+    this->answer(StoreTopic::Configuration, 40);
+    this->answer(StoreTopic::Evacuations, 40);
+    this->query(StoreTopic::Evacuations);
+    this->era = 2;
+    BOOST_TEST(!this->answer(StoreTopic::Evacuations, 42, { zone("b") }));
+    BOOST_TEST(this->query(StoreTopic::Evacuations).since == 0u);
+    BOOST_TEST(this->answer(StoreTopic::Evacuations, 42, { zone("a"), zone("b") }));
+    BOOST_TEST(this->isEvacuated("a"));
+}
+
+// A watch that has gone silent is noticed also while the revisions are lower than before a restore.
+BOOST_AUTO_TEST_CASE(opensAWatchAgainThatMissesAChangeOfANewEra)
+{
+    this->answer(StoreTopic::Configuration, 40);
+    this->answer(StoreTopic::Evacuations, 40);
+    this->era = 2;
+    this->answerProbe(30);
+    this->answer(StoreTopic::Configuration, 30);
+    this->answer(StoreTopic::Evacuations, 30);
+    const StoreQuery watch = this->query(StoreTopic::Configuration);
+    this->answerProbe(31);
+    this->now += 500ms;
+    BOOST_TEST(this->query(StoreTopic::Configuration).id != watch.id);
+}
+
+// A reader that was suspended, and a server of the store that lags, answer from before a restore.
+BOOST_AUTO_TEST_CASE(ignoresAnswersOfAnEarlierEra)
+{
+    this->era = 2;
+    this->answer(StoreTopic::Configuration, 30);
+    this->answer(StoreTopic::Evacuations, 30, { zone("a") });
+    this->query(StoreTopic::Evacuations);
+    this->era = 1;
+    // An outdated answer of a probe does not touch the watches.
+    const StoreQuery watch = this->query(StoreTopic::Evacuations);
+    this->answerProbe(45, { zone("b") });
+    this->now += 500ms;
+    BOOST_TEST(this->query(StoreTopic::Evacuations).id == watch.id);
+    BOOST_TEST(this->reader.isReachable());
+    BOOST_TEST(!this->answer(StoreTopic::Evacuations, 45, { zone("b") }));
+    BOOST_TEST(!this->isEvacuated("b"));
+    this->era = 2;
+    this->answerProbe(31);
+    this->now += 500ms; // more than the backoff
+    BOOST_TEST(this->answer(StoreTopic::Evacuations, 31, { zone("c") }));
+    BOOST_TEST(this->isEvacuated("a"));
+    BOOST_TEST(this->isEvacuated("c"));
+}
+
 BOOST_AUTO_TEST_CASE(asksNothingWhileInactive)
 {
     this->reader.setActive(false, this->now);
