Order evacuations by the store's era before its revision

What callers saw: after the store had come back from a copy, an evacuation that it acknowledged was in force nowhere: servers of the zone went on getting new flows (EVAC). The end of an evacuation could be ignored in the same way.

Cause: evacuations were ordered by the store's revision alone, on every path: a reader's answer, hellos, fetches between balancers, and notices to agents. It is the cause of the changes lost after a restore in another place; evacuations have no version that would mean the same before and after a restore.

Change: a position in the store's history is its era and its revision, and a higher era is newer. It goes with the state on all of these paths. A state of a new era may lack an evacuation that the store had acknowledged in the lost span. Balancers and agents, each on its own, hold such an evacuation for 3 s from the moment when they learn of the era; operators write it again, or it ends. An evacuation that the restored store still lists, though it had ended, is in force until operators end it again: a zone out for a moment rather than flows into a zone that must have none.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -155,20 +155,43 @@
                    { "cold_flows_per_second", std::to_string(this->limits.coldFlowsPerSecond) },
                    { "idle_ms", std::to_string(this->idleTimeout.count()) } });
     }
-    if (notice.evacuation <= this->evacuation)
+    this->applyEvacuation(notice, from, now, sink);
+}
+
+void Agent::applyEvacuation(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink)
+{
+    if (notice.evacuationsAsOf <= this->evacuationsAsOf)
         return;
-    const bool isFirst = this->evacuation == 0;
-    this->evacuation = notice.evacuation;
-    if (notice.isZoneEvacuated == this->isEvacuated)
+    const bool isFirst = this->evacuationsAsOf.revision == 0;
+    const bool isNewEra = notice.evacuationsAsOf.era != this->evacuationsAsOf.era;
+    this->evacuationsAsOf = notice.evacuationsAsOf;
+    if (this->isEvacuated && !notice.isZoneEvacuated && isNewEra) {
+        this->returnsAt = now + restoreGrace;
+        sink.log(Level::Warning, "evacuation_held",
+                 { { "zone", this->options.zone.value },
+                   { "era", std::to_string(this->evacuationsAsOf.era) },
+                   { "held_ms", std::to_string(restoreGrace.count()) },
+                   { "balancer", toString(from) } });
+    }
+    if (notice.isZoneEvacuated)
+        this->returnsAt = TimePoint::max();
+    if (notice.isZoneEvacuated == this->isEvacuated || this->returnsAt != TimePoint::max())
         return;
-    this->isEvacuated = notice.isZoneEvacuated;
     // An agent that starts in an evacuated zone does not know when the evacuation began; it counts
     // from its own start.
-    this->evacuatedAt = isFirst ? this->startedAt : now;
+    this->setEvacuated(notice.isZoneEvacuated, isFirst ? this->startedAt : now, from, sink);
+}
+
+void Agent::setEvacuated(bool isZoneEvacuated, TimePoint since, Endpoint balancer, Sink &sink)
+{
+    this->isEvacuated = isZoneEvacuated;
+    this->evacuatedAt = since;
+    this->returnsAt = TimePoint::max();
     sink.log(Level::Warning, this->isEvacuated ? "zone_evacuated" : "zone_returned",
              { { "zone", this->options.zone.value },
-               { "revision", std::to_string(notice.evacuation) },
-               { "balancer", toString(from) },
+               { "era", std::to_string(this->evacuationsAsOf.era) },
+               { "revision", std::to_string(this->evacuationsAsOf.revision) },
+               { "balancer", toString(balancer) },
                { "flows", std::to_string(this->flows.openCount()) } });
 }
 
@@ -321,7 +344,7 @@
 TimePoint Agent::nextTimer() const
 {
     TimePoint next = std::min({ this->nextHomeReport, this->nextRemoteReport, this->nextExpiry,
-                                this->watch.nextCheck() });
+                                this->returnsAt, this->watch.nextCheck() });
     if (this->mustEndFlows)
         next = std::min(next, this->deregisteredAt + exitDelay + std::chrono::milliseconds(1));
     return this->isStopping ? std::min(next, this->nextStopCheck) : next;
@@ -336,6 +359,8 @@
         std::erase_if(this->probes,
                       [&](const auto &entry) { return now - entry.second.sentAt > probeTimeout; });
     }
+    if (now >= this->returnsAt)
+        this->setEvacuated(false, now, {}, sink);
     if (this->mustEndFlows && this->hasServerExited(now))
         this->resetAllFlows("server_exited", now, sink);
     if (now >= this->nextHomeReport)
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -202,6 +202,8 @@
     // server.
     bool onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink);
     void onNotice(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
+    void applyEvacuation(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
+    void setEvacuated(bool isZoneEvacuated, TimePoint since, Endpoint balancer, Sink &sink);
     std::optional<Decline> checkAdmission(TimePoint now) const;
     // The time that a request of one more flow is expected to wait at the server.
     Duration expectedWait() const;
@@ -249,11 +251,13 @@
     AgentCounters counts;
     Traffic sent;
     ConfigurationVersion configuration = 0; // that the limits are from; 0: none known
-    Revision evacuation = 0;
+    StorePosition evacuationsAsOf; // revision 0: nothing known
     ServiceLimits limits;
     std::chrono::milliseconds idleTimeout = defaultIdleTimeout;
     bool isEvacuated = false;
     TimePoint evacuatedAt;
+    // When the zone returns unless the restored store lists its evacuation until then.
+    TimePoint returnsAt = TimePoint::max();
     TimePoint startedAt;
     TimePoint lastHomeReport;
     TimePoint nextHomeReport;
--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -188,7 +188,8 @@
     for (std::size_t i = 0; i < this->agents.size(); ++i) {
         const Agent &agent = this->agents[i];
         if (!agent.isPresent || agent.report.service != service
-            || agent.report.phase != ServerPhase::Ready || state.isEvacuated(agent.report.zone))
+            || agent.report.phase != ServerPhase::Ready
+            || state.isEvacuated(agent.report.zone, now))
             continue;
         // Pseudo-random share that depends on flow and agent, so that equal agents get equal
         // numbers of flows.
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -4,6 +4,18 @@
 
 namespace cactusdeck::mesh {
 
+namespace {
+
+std::string joined(const std::set<ZoneName> &zones)
+{
+    std::string text;
+    for (const ZoneName &zone : zones)
+        text += (text.empty() ? "" : ",") + zone.value;
+    return text;
+}
+
+} // namespace
+
 Balancer::Balancer(BalancerOptions balancerOptions)
     : options(std::move(balancerOptions))
     , directory({ .zone = options.zone, .costPerKilobyte = options.costPerKilobyte })
@@ -76,8 +88,9 @@
     // states that nothing is known.
     if (agent.hasReported()) {
         notice.configuration = this->fleet.configurationVersion();
-        notice.evacuation = this->fleet.evacuationRevision();
-        notice.isZoneEvacuated = this->fleet.isEvacuated(agent.report.zone);
+        notice.evacuationsAsOf = this->fleet.evacuationsAsOf();
+        // The agent holds an evacuation that a restored store does not list by itself.
+        notice.isZoneEvacuated = this->fleet.evacuated().contains(agent.report.zone);
     }
     const ConfigurationPointer &configuration = this->fleet.configuration();
     if (agent.hasReported() && configuration != nullptr) {
@@ -136,16 +149,15 @@
 void Balancer::onStateChanged(const char *source, TimePoint now, Sink &sink)
 {
     ++this->counts.stateChanges;
-    std::string zones;
-    for (const ZoneName &zone : this->fleet.evacuated())
-        zones += (zones.empty() ? "" : ",") + zone.value;
     const ConfigurationPointer &configuration = this->fleet.configuration();
     sink.log(Level::Info, "state_changed",
              { { "source", source },
                { "configuration", std::to_string(this->fleet.configurationVersion()) },
                { "routes", std::to_string(configuration ? configuration->routes.size() : 0) },
-               { "evacuated", zones },
-               { "evacuation_revision", std::to_string(this->fleet.evacuationRevision()) } });
+               { "evacuated", joined(this->fleet.evacuated()) },
+               { "evacuations_held", joined(this->fleet.heldEvacuations(now)) },
+               { "evacuation_era", std::to_string(this->fleet.evacuationsAsOf().era) },
+               { "evacuation_revision", std::to_string(this->fleet.evacuationsAsOf().revision) } });
     // The readers, which are few, tell everyone.
     const bool isReader = this->storeReader.isActive();
     this->sendHellos(isReader ? HelloScope::Everyone : HelloScope::Neighbours, false, now, sink);
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -183,7 +183,7 @@
         bool isReader = false;
         bool isNew = false;
         ConfigurationVersion configuration = 0;
-        Revision evacuation = 0;
+        StorePosition evacuationsAsOf;
     };
 
     enum class HelloScope : std::uint8_t {
--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -54,7 +54,7 @@
              .isReader = hello.isReader,
              .isNew = hello.isSenderNew,
              .configuration = hello.configuration,
-             .evacuation = hello.evacuation };
+             .evacuationsAsOf = hello.evacuationsAsOf };
     // A new balancer needs reports of all agents soon. The agents learn of it by the next notices;
     // the store readers, which are few, tell them at once, unless many balancers start together.
     if (hasJustStarted) {
@@ -66,7 +66,7 @@
     this->onContacts(hello, now, sink);
     this->chooseFetch(now);
     const bool isOlder = hello.configuration < this->fleet.configurationVersion()
-                         || hello.evacuation < this->fleet.evacuationRevision();
+                         || hello.evacuationsAsOf < this->fleet.evacuationsAsOf();
     if (isOlder || hello.wantsAnswer)
         this->answerHello(hello, from, now, sink);
 }
@@ -130,8 +130,8 @@
     this->hasAgentList = true;
     PeerState &fetched = this->peerStates[peer];
     fetched.configuration = decoded->configurationVersion();
-    fetched.evacuation = decoded->evacuationRevision();
-    if (this->fleet.adopt(*decoded))
+    fetched.evacuationsAsOf = decoded->evacuationsAsOf();
+    if (this->fleet.adopt(*decoded, now))
         this->onStateChanged("peer", now, sink);
     this->chooseFetch(now);
 }
@@ -141,7 +141,7 @@
     const auto it = this->peerStates.find(peer);
     return it != this->peerStates.end()
            && (it->second.configuration > this->fleet.configurationVersion()
-               || it->second.evacuation > this->fleet.evacuationRevision());
+               || it->second.evacuationsAsOf > this->fleet.evacuationsAsOf());
 }
 
 void Balancer::chooseFetch(TimePoint now)
@@ -190,8 +190,10 @@
     this->isFetching = false;
     sink.log(Level::Warning, "state_fetch_failed", { { "peer", toString(peer) } });
     // Try another peer; this one is tried again after its next hello.
-    if (const auto it = this->peerStates.find(peer); it != this->peerStates.end())
-        it->second.configuration = it->second.evacuation = 0;
+    if (const auto it = this->peerStates.find(peer); it != this->peerStates.end()) {
+        it->second.configuration = 0;
+        it->second.evacuationsAsOf = {};
+    }
     this->chooseFetch(now);
 }
 
@@ -217,7 +219,7 @@
     return { .name = this->options.name,
              .zone = this->options.zone,
              .configuration = this->fleet.configurationVersion(),
-             .evacuation = this->fleet.evacuationRevision(),
+             .evacuationsAsOf = this->fleet.evacuationsAsOf(),
              .isStoreReachable = this->storeReader.isReachable(),
              .isLeaving = this->isStopping,
              .isSenderNew = this->isNew(now),
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -79,7 +79,7 @@
         } else if (isAskedAnyway || entry.report.knowsAllFlows || !entry.hasReported()) {
             plan.asked.push_back(agent);
             sends.questions.push_back(agent);
-        } else if (this->mayHold(key, agent) && !this->fleet.isEvacuated(entry.report.zone)) {
+        } else if (this->mayHold(key, agent) && !this->fleet.isEvacuated(entry.report.zone, now)) {
             // Agents of evacuated domains forward packets without consulting their servers, so a
             // chain through them would rule nothing out.
             (this->isHome(entry) ? chained : plan.unconfirmed).push_back(agent);
--- a/mesh/control_test.cpp
+++ b/mesh/control_test.cpp
@@ -48,7 +48,7 @@
     {
         return this->world.balancer("b" + std::to_string(balancer))
                 .balancer->state()
-                .isEvacuated(ZoneName{ "zone-b" });
+                .isEvacuated(ZoneName{ "zone-b" }, this->world.now);
     }
 
     std::size_t openings(const std::string &agent)
@@ -159,13 +159,14 @@
     FleetConfiguration configuration = configurationOf({ { booking, "booking" } }, 2.5);
     configuration.routes[booking].targets.push_back({ ServiceName{ "ticket" }, 10 });
     state.adoptConfiguration(std::make_shared<FleetConfiguration>(configuration));
-    state.adoptEvacuations(21, { ZoneName{ "zone-b" } });
+    const TimePoint now{ 1h };
+    state.adoptEvacuations({ .era = 2, .revision = 21 }, { ZoneName{ "zone-b" } }, now);
     const std::vector<std::uint8_t> bytes = state.encode();
     const std::optional<FleetState> copy = FleetState::decode(bytes);
     BOOST_REQUIRE(copy.has_value());
     BOOST_TEST(copy->configurationVersion() == configuration.version);
-    BOOST_TEST(copy->evacuationRevision() == 21u);
-    BOOST_TEST(copy->isEvacuated(ZoneName{ "zone-b" }));
+    BOOST_TEST((copy->evacuationsAsOf() == StorePosition{ .era = 2, .revision = 21 }));
+    BOOST_TEST(copy->isEvacuated(ZoneName{ "zone-b" }, now));
     BOOST_TEST(copy->configuration()->routes.at(booking).targets.size() == 2u);
     BOOST_TEST(copy->configuration()->services.at(ServiceName{ "booking" }).coldFlowsPerSecond
                == 2.5);
--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -108,26 +108,52 @@
     return route != this->routes->routes.end() && route->second.hasTarget(service);
 }
 
-bool FleetState::adoptEvacuations(Revision revision, std::set<ZoneName> evacuatedZones)
+bool FleetState::adoptEvacuations(StorePosition asOf, std::set<ZoneName> evacuatedZones,
+                                  TimePoint now)
 {
-    if (revision <= this->zonesRevision)
+    if (asOf <= this->zonesAsOf)
         return false;
     // The first evacuation state is a change even if no zone is evacuated.
-    if (this->zonesRevision != 0 && evacuatedZones == this->zones)
+    const bool isNewEra = asOf.era != this->zonesAsOf.era;
+    if (this->zonesAsOf.revision != 0 && !isNewEra && evacuatedZones == this->zones)
         return false;
+    if (isNewEra) {
+        for (const ZoneName &zone : this->zones)
+            this->heldUntil[zone] = now + restoreGrace;
+    }
+    for (const ZoneName &zone : evacuatedZones)
+        this->heldUntil.erase(zone);
     this->zones = std::move(evacuatedZones);
-    this->zonesRevision = revision;
+    this->zonesAsOf = asOf;
     return true;
 }
 
-bool FleetState::adopt(const FleetState &other)
+std::set<ZoneName> FleetState::heldEvacuations(TimePoint now) const
+{
+    std::set<ZoneName> held;
+    for (const auto &[zone, until] : this->heldUntil) {
+        if (now < until)
+            held.insert(zone);
+    }
+    return held;
+}
+
+bool FleetState::isEvacuated(const ZoneName &zone, TimePoint now) const
+{
+    if (this->zones.contains(zone))
+        return true;
+    const auto held = this->heldUntil.find(zone);
+    return held != this->heldUntil.end() && now < held->second;
+}
+
+bool FleetState::adopt(const FleetState &other, TimePoint now)
 {
     const bool isConfigurationNew = this->adoptConfiguration(other.routes);
-    const bool areZonesNew = this->adoptEvacuations(other.zonesRevision, other.zones);
+    const bool areZonesNew = this->adoptEvacuations(other.zonesAsOf, other.zones, now);
     // The same zones with a newer revision: take over the revision too, otherwise the two nodes
     // would keep fetching each other's state.
-    if (other.zonesRevision > this->zonesRevision && other.zones == this->zones)
-        this->zonesRevision = other.zonesRevision;
+    if (other.zonesAsOf > this->zonesAsOf && other.zones == this->zones)
+        this->zonesAsOf = other.zonesAsOf;
     // Merge the targets of earlier configurations, since open flows may date from them.
     for (const auto &[address, services] : other.formerTargets)
         this->formerTargets[address].insert(services.begin(), services.end());
@@ -136,7 +162,9 @@
 
 std::vector<std::uint8_t> FleetState::encode() const
 {
-    json document = { { "zonesRevision", this->zonesRevision }, { "zones", json::array() } };
+    json document = { { "zonesEra", this->zonesAsOf.era },
+                      { "zonesRevision", this->zonesAsOf.revision },
+                      { "zones", json::array() } };
     for (const ZoneName &zone : this->zones)
         document["zones"].push_back(zone);
     document["former"] = json::array();
@@ -152,7 +180,9 @@
     try {
         const json document = json::from_cbor(bytes.begin(), bytes.end());
         FleetState state;
-        document.at("zonesRevision").get_to(state.zonesRevision);
+        // Nodes of an earlier release do not know the era.
+        state.zonesAsOf = { .era = document.value("zonesEra", StoreEra(0)),
+                            .revision = document.at("zonesRevision") };
         for (const json &zone : document.at("zones"))
             state.zones.insert(zone.get<ZoneName>());
         for (const json &entry : document.at("former"))
--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -16,7 +16,10 @@
 // The state that operators set: routes, service limits, and evacuated failure domains. It is
 // replaced only by newer state, so a node never reverts, whatever the source. The configuration is
 // ordered by the operators' version number, which also holds across a restore of the store, and the
-// evacuations by the store revision of their last change.
+// evacuations by the position of their last change in the store's history.
+//
+// A store that has just been restored may lack evacuations which it had acknowledged. They stay in
+// force for restoreGrace, in which operators write them again.
 //
 //     FleetState state;
 //     if (state.adoptConfiguration(configuration))
@@ -29,6 +32,19 @@
 // and gives out their revisions again.
 using StoreEra = std::uint64_t;
 
+// A point in the store's history. Revisions are comparable only within an era.
+struct StorePosition
+{
+    StoreEra era = 0;
+    Revision revision = 0;
+
+    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+};
+
+// How long an evacuation stays in force that a restored store does not list: as long as a change
+// may take until it is in force.
+inline constexpr std::chrono::milliseconds restoreGrace{ 3000 };
+
 struct WeightedService
 {
     ServiceName service;
@@ -68,10 +84,10 @@
 public:
     // Returns false if the version is not newer than the one in force.
     bool adoptConfiguration(ConfigurationPointer configuration);
-    // Returns false if nothing changes.
-    bool adoptEvacuations(Revision revision, std::set<ZoneName> zones);
+    // Returns false if neither the zones nor the era change.
+    bool adoptEvacuations(StorePosition asOf, std::set<ZoneName> zones, TimePoint now);
     // Adopts the parts of the other state that are newer. Returns true if there were any.
-    bool adopt(const FleetState &other);
+    bool adopt(const FleetState &other, TimePoint now);
 
     const ConfigurationPointer &configuration() const { return this->routes; }
     // 0: no configuration is known.
@@ -79,9 +95,12 @@
     {
         return this->routes == nullptr ? 0 : this->routes->version;
     }
-    Revision evacuationRevision() const { return this->zonesRevision; }
+    StorePosition evacuationsAsOf() const { return this->zonesAsOf; }
+    // As listed by the store; without the evacuations that are only held.
     const std::set<ZoneName> &evacuated() const { return this->zones; }
-    bool isEvacuated(const ZoneName &zone) const { return this->zones.contains(zone); }
+    // The evacuations that a restored store does not list and that are still in force.
+    std::set<ZoneName> heldEvacuations(TimePoint now) const;
+    bool isEvacuated(const ZoneName &zone, TimePoint now) const;
     // True if an earlier configuration had a route for the address and the current one has none.
     bool wasDropped(Endpoint address) const { return this->droppedAddresses.contains(address); }
 
@@ -95,7 +114,8 @@
 private:
     ConfigurationPointer routes; // null until a configuration is known
     std::set<ZoneName> zones;
-    Revision zonesRevision = 0;
+    StorePosition zonesAsOf; // revision 0: nothing known
+    std::map<ZoneName, TimePoint> heldUntil; // by zones that are not in the list
     std::set<Endpoint> droppedAddresses;
     std::map<Endpoint, std::set<ServiceName>> formerTargets; // targets of earlier configurations
 };
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -27,6 +27,12 @@
     return std::chrono::milliseconds(value.get<std::int64_t>());
 }
 
+// The era is the last element, which messages of an earlier release do not have.
+StoreEra eraFrom(const json &message, std::size_t index)
+{
+    return index < message.size() ? message.at(index).get<StoreEra>() : 0;
+}
+
 // A list of the endpoints, then their ages in the same order.
 json contactsToJson(const std::vector<PeerSet::Contact> &contacts)
 {
@@ -93,7 +99,7 @@
              hello.name,
              hello.zone,
              hello.configuration,
-             hello.evacuation,
+             hello.evacuationsAsOf.revision,
              hello.isStoreReachable,
              hello.isLeaving,
              hello.wantsAnswer,
@@ -102,7 +108,8 @@
              hello.knownBalancers,
              hello.interval.count(),
              toBytes(hello.balancers),
-             contactsToJson(hello.contacts) };
+             contactsToJson(hello.contacts),
+             hello.evacuationsAsOf.era };
 }
 
 json toJson(const AgentReport &report)
@@ -130,14 +137,15 @@
 {
     return { 2,
              notice.configuration,
-             notice.evacuation,
+             notice.evacuationsAsOf.revision,
              notice.isZoneEvacuated,
              notice.limits.connections,
              notice.limits.coldFlowsPerSecond,
              notice.idleTimeout.count(),
              notice.zone,
              toBytes(notice.balancers),
-             toBytes(notice.newcomers) };
+             toBytes(notice.newcomers),
+             notice.evacuationsAsOf.era };
 }
 
 BalancerHello helloFrom(const json &value)
@@ -145,7 +153,7 @@
     return { .name = value.at(1),
              .zone = value.at(2),
              .configuration = value.at(3),
-             .evacuation = value.at(4),
+             .evacuationsAsOf = { .era = eraFrom(value, 14), .revision = value.at(4) },
              .isStoreReachable = value.at(5),
              .isLeaving = value.at(6),
              .wantsAnswer = value.at(7),
@@ -182,7 +190,7 @@
 BalancerNotice noticeFrom(const json &value)
 {
     return { .configuration = value.at(1),
-             .evacuation = value.at(2),
+             .evacuationsAsOf = { .era = eraFrom(value, 10), .revision = value.at(2) },
              .isZoneEvacuated = value.at(3),
              .limits = { .connections = value.at(4), .coldFlowsPerSecond = value.at(5) },
              .idleTimeout = millisecondsFrom(value.at(6)),
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -27,7 +27,7 @@
     NodeId name;
     ZoneName zone;
     ConfigurationVersion configuration = 0; // 0: none known
-    Revision evacuation = 0;
+    StorePosition evacuationsAsOf;
     bool isStoreReachable = false;
     bool isLeaving = false;
     bool wantsAnswer = false; // the sender asks for a hello in return
@@ -76,7 +76,7 @@
 struct BalancerNotice
 {
     ConfigurationVersion configuration = 0; // 0: none known
-    Revision evacuation = 0;
+    StorePosition evacuationsAsOf;
     bool isZoneEvacuated = false; // the agent's zone
     ServiceLimits limits; // of the agent's service
     std::chrono::milliseconds idleTimeout{ 0 };
--- a/mesh/peermessage_test.cpp
+++ b/mesh/peermessage_test.cpp
@@ -15,7 +15,7 @@
     const BalancerHello hello{ .name = NodeId{ "b1" },
                                .zone = ZoneName{ "z" },
                                .configuration = 7,
-                               .evacuation = 9,
+                               .evacuationsAsOf = { .era = 2, .revision = 9 },
                                .isStoreReachable = true,
                                .wantsAnswer = true,
                                .balancers = { { 0x0A000001, 7000 }, { 0xFF00FF01, 65535 } } };
@@ -24,7 +24,7 @@
     const auto &copy = std::get<BalancerHello>(*decodedHello);
     BOOST_TEST(copy.name.value == "b1");
     BOOST_TEST(copy.configuration == 7u);
-    BOOST_TEST(copy.evacuation == 9u);
+    BOOST_TEST((copy.evacuationsAsOf == StorePosition{ .era = 2, .revision = 9 }));
     BOOST_TEST(copy.isStoreReachable);
     BOOST_TEST(!copy.isLeaving);
     BOOST_TEST(copy.wantsAnswer);
--- a/mesh/placement_test.cpp
+++ b/mesh/placement_test.cpp
@@ -168,7 +168,7 @@
     draining.phase = ServerPhase::Draining;
     this->directory.onReport(draining, host(1), start);
     this->directory.onReport(reportOf("b", 0), host(2), start);
-    this->state.adoptEvacuations(3, { ZoneName{ "b" } });
+    this->state.adoptEvacuations({ .era = 1, .revision = 3 }, { ZoneName{ "b" } }, start);
     BOOST_TEST(this->directory.candidates(booking, this->state, 7, start).empty());
 }
 
--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -136,7 +136,7 @@
         topic.backoff = firstBackoff;
     // Revision 0 would mean that a list is still needed.
     topic.revision = std::max<Revision>(result.asOf, 1);
-    return this->apply(result, state, sink);
+    return this->apply(result, now, state, sink);
 }
 
 bool StateReader::isOfEarlierEra(const StoreResult &result) const
@@ -250,11 +250,11 @@
     channel.backoff = std::min(channel.backoff * 2, limit);
 }
 
-bool StateReader::apply(const StoreResult &result, FleetState &state, Sink &sink)
+bool StateReader::apply(const StoreResult &result, TimePoint now, FleetState &state, Sink &sink)
 {
     if (result.query.topic == StoreTopic::Configuration)
         return this->applyConfiguration(result, state, sink);
-    return this->applyEvacuations(result, state);
+    return this->applyEvacuations(result, now, state);
 }
 
 bool StateReader::applyConfiguration(const StoreResult &result, FleetState &state, Sink &sink)
@@ -283,7 +283,7 @@
     return isChanged;
 }
 
-bool StateReader::applyEvacuations(const StoreResult &result, FleetState &state)
+bool StateReader::applyEvacuations(const StoreResult &result, TimePoint now, FleetState &state)
 {
     if (result.query.since == 0)
         this->zones.clear();
@@ -293,7 +293,7 @@
         else
             this->zones.insert(ZoneName{ object.name });
     }
-    return state.adoptEvacuations(result.asOf, this->zones);
+    return state.adoptEvacuations({ .era = this->era, .revision = result.asOf }, this->zones, now);
 }
 
 } // namespace cactusdeck::mesh
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -139,9 +139,9 @@
     void onProbe(const StoreResult &result, TimePoint now, Sink &sink);
     // Gives up pending watches that do not report a change that the store already has.
     void checkWatches(const StoreResult &probe, TimePoint now, Sink &sink);
-    bool apply(const StoreResult &result, FleetState &state, Sink &sink);
+    bool apply(const StoreResult &result, TimePoint now, FleetState &state, Sink &sink);
     bool applyConfiguration(const StoreResult &result, FleetState &state, Sink &sink);
-    bool applyEvacuations(const StoreResult &result, FleetState &state);
+    bool applyEvacuations(const StoreResult &result, TimePoint now, FleetState &state);
     // All queries so far have been given up, and both topics are to be listed.
     void listAll(TimePoint now);
     void noticeEra(const StoreResult &result, TimePoint now, Sink &sink);
--- a/mesh/statereader_test.cpp
+++ b/mesh/statereader_test.cpp
@@ -36,7 +36,10 @@
         this->reader.setActive(true, this->now);
     }
 
-    bool isEvacuated(const std::string &name) { return this->state.isEvacuated(ZoneName{ name }); }
+    bool isEvacuated(const std::string &name)
+    {
+        return this->state.isEvacuated(ZoneName{ name }, this->now);
+    }
 
     StoreQuery query(StoreTopic topic)
     {
--- a/meshd/metricstext.cpp
+++ b/meshd/metricstext.cpp
@@ -120,8 +120,10 @@
     text.add(balancer.traffic());
     const mesh::FleetState &state = balancer.state();
     text.add("configuration_version", state.configurationVersion());
-    text.add("evacuation_revision", state.evacuationRevision());
+    text.add("evacuation_era", state.evacuationsAsOf().era);
+    text.add("evacuation_revision", state.evacuationsAsOf().revision);
     text.add("zones_evacuated", state.evacuated().size());
+    text.add("evacuations_held", state.heldEvacuations(now).size());
     text.add("agents_known", balancer.agents().possibleOwners().size());
     text.add("balancers_live", balancer.liveBalancers(now));
     text.add("ready", int(balancer.isReady(now)));
