Write the directory entry again after a restore of the store

What users would see: a node whose seeds are all gone starts after a restore and does not find the balancers that registered in the lost span.

Cause: a balancer wrote its entry once and remembered that it is there.

Change: when to write the entry moves from the daemon to a class of its own, mesh::Registration, which has tests, and the entry is written again, spread over 2 s, when the balancer learns of a newer era. An entry written while the era rose counts as lost too. Cost: one call for each balancer and restore.

--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "mesh/balancer.h"
+#include "mesh/registration.h"
 #include "meshd/eventloop.h"
 #include "meshd/metricstext.h"
 #include "meshd/reload.h"
@@ -19,10 +20,8 @@
 constexpr std::string_view metricsTarget = "/metrics";
 constexpr std::string_view stateTarget = "/state"; // requested by other balancers
 constexpr std::chrono::milliseconds fetchTimeout{ 1000 };
-// Delay of the directory entry after the start. Only nodes that start later need the entry.
-constexpr std::chrono::milliseconds registrationDelay{ 8000 };
-constexpr std::chrono::milliseconds registrationRetry{ 5000 };
 constexpr std::chrono::milliseconds registrationTimeout{ 2000 };
+constexpr unsigned statusConflict = 409;
 
 class BalancerDaemon
 {
@@ -49,7 +48,6 @@
     Result<void> run()
     {
         BOOST_LEAF_CHECK(this->loop.open(this->handlers()));
-        this->nextRegistration = EventLoop::now() + registrationDelay;
         this->balancer.start(EventLoop::now(), this->loop);
         this->loop.run();
         return {};
@@ -103,8 +101,9 @@
             this->queryStore(query);
         if (const std::optional<Endpoint> peer = this->balancer.takeFetch())
             this->fetchState(*peer);
-        if (!this->isRegistered && now >= this->nextRegistration)
-            this->registerNode(now);
+        const mesh::StoreEra era = this->balancer.state().evacuationsAsOf().era;
+        if (const auto call = this->registration.takeCall(era, now))
+            this->registerNode(*call);
     }
 
     void queryStore(const mesh::StoreQuery &query)
@@ -135,42 +134,33 @@
                 });
     }
 
-    // Writes the directory entry. Replaces the entry of an earlier run with another mesh endpoint.
-    void registerNode(TimePoint now)
+    void registerNode(mesh::Registration::Call call)
     {
-        this->nextRegistration = now + registrationRetry;
+        const bool isCreation = call == mesh::Registration::Call::Create;
         this->loop.call(
                 { .to = this->settings.store,
-                  .method = "POST",
-                  .target = platform::directoryTarget(),
+                  .method = isCreation ? "POST" : "PUT",
+                  .target = isCreation ? platform::directoryTarget()
+                                       : platform::directoryEntryTarget(this->settings.id),
                   .body = platform::encodeDirectoryEntry(this->settings.id, this->settings.mesh),
                   .timeout = registrationTimeout },
-                [this](const HttpAnswer &answer, TimePoint) {
-                    const bool isWritten = answer.status >= 200 && answer.status < 300;
-                    const bool isTaken = answer.status == 409;
-                    if (isWritten
-                        || (isTaken && platform::isSameEntry(answer.body, this->settings.mesh)))
-                        this->isRegistered = true;
-                    else if (isTaken)
-                        this->replaceEntry();
-                    else
+                [this](const HttpAnswer &answer, TimePoint now) {
+                    const auto outcome = this->outcomeOf(answer);
+                    if (outcome == mesh::Registration::Outcome::Failed)
                         this->logRegistrationFailure(answer.status);
+                    this->registration.onOutcome(outcome, now);
                 });
     }
 
-    void replaceEntry()
+    mesh::Registration::Outcome outcomeOf(const HttpAnswer &answer) const
     {
-        this->loop.call(
-                { .to = this->settings.store,
-                  .method = "PUT",
-                  .target = platform::directoryEntryTarget(this->settings.id),
-                  .body = platform::encodeDirectoryEntry(this->settings.id, this->settings.mesh),
-                  .timeout = registrationTimeout },
-                [this](const HttpAnswer &answer, TimePoint) {
-                    this->isRegistered = answer.status >= 200 && answer.status < 300;
-                    if (!this->isRegistered)
-                        this->logRegistrationFailure(answer.status);
-                });
+        using Outcome = mesh::Registration::Outcome;
+        if (answer.status >= 200 && answer.status < 300)
+            return Outcome::Written;
+        if (answer.status != statusConflict)
+            return Outcome::Failed;
+        return platform::isSameEntry(answer.body, this->settings.mesh) ? Outcome::AlreadyThere
+                                                                       : Outcome::OtherThere;
     }
 
     void logRegistrationFailure(unsigned status)
@@ -201,8 +191,7 @@
     std::string file;
     EventLoop loop;
     mesh::Balancer balancer;
-    bool isRegistered = false;
-    TimePoint nextRegistration;
+    mesh::Registration registration{ EventLoop::now(), std::random_device()() };
 };
 
 } // namespace
