--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -308,7 +308,8 @@
 {
     if (this->hasStoreFault)
         return;
-    const auto fault = standin::StoreFault(1 + this->random() % (standin::storeFaultCount - 1));
+    constexpr auto kinds = std::uint64_t(standin::StoreFault::Forgetful);
+    const auto fault = standin::StoreFault(1 + this->random() % kinds);
     this->guarantees.log(at, std::string("fault=store kind=") + standin::nameOf(fault));
     this->store.setFault(fault);
     this->hasStoreFault = true;
--- a/standin/http.cpp
+++ b/standin/http.cpp
@@ -13,23 +13,6 @@
 constexpr std::chrono::seconds callTimeout{ 10 };
 constexpr std::chrono::milliseconds maxWatch{ 60000 };
 
-// Closes the connection of a request, so that the client gets no response. The library does not
-// expose the socket, so this searches the open descriptors for the one with the client's port.
-void closeWithoutAnswer(const httplib::Request &request)
-{
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    for (int fd = 0; fd < int(std::min<rlim_t>(limit.rlim_cur, 4096)); ++fd) {
-        sockaddr_in peer{};
-        socklen_t size = sizeof peer;
-        if (getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &size) == 0
-            && peer.sin_family == AF_INET && ntohs(peer.sin_port) == request.remote_port) {
-            shutdown(fd, SHUT_RDWR);
-            return;
-        }
-    }
-}
-
 std::string etagOf(std::uint64_t version)
 {
     return '"' + std::to_string(version) + '"';
@@ -141,6 +124,23 @@
     this->http.stop();
 }
 
+// The library does not expose the socket, so this searches the open descriptors for the one with
+// the client's port.
+void closeWithoutAnswer(const httplib::Request &request)
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    for (int fd = 0; fd < int(std::min<rlim_t>(limit.rlim_cur, 4096)); ++fd) {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &size) == 0
+            && peer.sin_family == AF_INET && ntohs(peer.sin_port) == request.remote_port) {
+            shutdown(fd, SHUT_RDWR);
+            return;
+        }
+    }
+}
+
 void addStoreRoutes(httplib::Server &server, ObjectStore &store)
 {
     using Request = httplib::Request;
--- a/standin/http.h
+++ b/standin/http.h
@@ -38,6 +38,9 @@
     std::thread thread;
 };
 
+// Closes the connection of a request, so that the client gets no response.
+void closeWithoutAnswer(const httplib::Request &request);
+
 // Adds the routes of the store protocol, POST /faults and GET /counters.
 void addStoreRoutes(httplib::Server &server, ObjectStore &store);
 
