Restore the store from copies in the soak

Purpose: an open fault of the platform that no seed played.

Change: the fault 'restored': the store closes all connections or holds all calls for 1 to 3 s and comes back from a copy up to 9 s old. Copies are taken each 0.5 s while the store has all that the operator takes it to have. Within 0.5 s of the return the operator writes again what the copy lacks of its own writes, and within 3 s it makes a further change. After all other faults, which suspend most bounds, the operator changes the route and evacuates a zone, and the store is restored once more, from a copy that mostly lacks both.

Checks: none is relaxed and none distinguishes the lost span. Route changes and evacuations have the bounds that they have after any fault of the store, counted from its return. A write of the operator while the store is away is made again after the return, so no bound starts at it. New, for all seeds: directory_kept, at the end each balancer that is up has its entry in the store.

Seeds: those below 1001 have no restores and draw nothing for them.

--- a/soak/guarantees.h
+++ b/soak/guarantees.h
@@ -25,9 +25,10 @@
     ColdKept, // a cold server gets no more flows per second than it can serve, plus an allowance
     RouteInForce, // after Soak::changeLimit added routes are served and removed ones are not
     Recovered, // each new flow opens after the faults have ended
+    DirectoryKept, // at the end each balancer has its entry in the store, also after restores
     CleanExit, // nodes end only when killed by the soak, or with status 0 when asked to stop
 };
-inline constexpr std::size_t guaranteeCount = 10;
+inline constexpr std::size_t guaranteeCount = 11;
 
 class GuaranteeChecks
 {
@@ -61,8 +62,9 @@
     static const char *nameOf(Guarantee guarantee)
     {
         static constexpr std::array<const char *, guaranteeCount> names = {
-            "packets_unchanged", "open_flow_kept", "request_answered", "request_once", "drain_kept",
-            "evacuation_kept",   "cold_kept",      "route_in_force",   "recovered",    "clean_exit"
+            "packets_unchanged", "open_flow_kept",  "request_answered", "request_once",
+            "drain_kept",        "evacuation_kept", "cold_kept",        "route_in_force",
+            "recovered",         "directory_kept",  "clean_exit"
         };
         return names[std::size_t(guarantee)];
     }
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 
@@ -145,14 +146,20 @@
         std::this_thread::sleep_for(10ms);
     const TimePoint faultsEnd = Clock::now() + this->options.faultTime;
     this->scheduleFaults(Clock::now() + warmUp, faultsEnd);
+    if (this->options.seed >= firstSeedWithRestores)
+        this->scheduleRestores(Clock::now() + warmUp, faultsEnd);
     this->runUntil(faultsEnd);
-    while (!this->actions.empty())
-        this->step();
+    this->finishActions();
+    if (this->options.seed >= firstSeedWithRestores) {
+        this->restoreBesidesNoFault();
+        this->finishActions();
+    }
     this->guarantees.log(this->now, "event=faults_ended");
     this->runUntil(this->now + settleTime);
     this->callers->setOpeningsMustSucceed(true);
     this->runUntil(this->now + openingCheckTime);
     this->callers->setOpeningsMustSucceed(false);
+    this->checkDirectory();
     for (std::size_t i = 0; i < this->fleet.size(); ++i)
         this->fleet.requestStop(i, this->now);
     const TimePoint stopEnd = this->now + stopLimit;
@@ -171,6 +178,12 @@
         this->step();
 }
 
+void Soak::finishActions()
+{
+    while (!this->actions.empty())
+        this->step();
+}
+
 void Soak::step()
 {
     this->now = Clock::now();
@@ -178,6 +191,7 @@
         const Action action = std::move(this->actions.extract(this->actions.begin()).mapped());
         action(this->now);
     }
+    this->copyStore();
     this->fleet.step(this->now);
     this->updateExpectations();
     for (const auto &server : this->servers)
@@ -218,13 +232,41 @@
     for (TimePoint at = from; at < until; at += this->randomDuration(300ms, 2500ms)) {
         const NamedFault &fault = faults[this->random() % faults.size()];
         this->actions.emplace(at, [this, &fault](TimePoint time) {
-            ++this->injected[fault.name];
-            this->guarantees.log(time, std::string("event=fault kind=") + fault.name);
-            (this->*fault.begin)(time);
+            this->inject(fault.name, fault.begin, time);
         });
     }
 }
 
+void Soak::scheduleRestores(TimePoint from, TimePoint until)
+{
+    for (TimePoint at = from + this->randomDuration(0ms, 6000ms); at < until;
+         at += this->randomDuration(5000ms, 10000ms))
+        this->actions.emplace(at, [this](TimePoint time) { this->restoreStore(time); });
+}
+
+void Soak::inject(const char *name, Fault fault, TimePoint at)
+{
+    ++this->injected[name];
+    this->guarantees.log(at, std::string("event=fault kind=") + name);
+    (this->*fault)(at);
+}
+
+void Soak::copyStore()
+{
+    // A copy must have what the operator takes it to have.
+    if (this->hasLostWrites
+        || (!this->copies.empty() && this->now - this->copies.back().at < copyInterval))
+        return;
+    StoreCopy copy{ .at = this->now,
+                    .content = this->store.copy(),
+                    .version = this->publication.version };
+    for (const auto &[zone, since] : this->evacuatedAt)
+        copy.evacuatedZones.insert(zone);
+    this->copies.push_back(std::move(copy));
+    while (this->now - this->copies.front().at > greatestCopyAge)
+        this->copies.pop_front();
+}
+
 std::optional<std::size_t> Soak::randomRunningNode(bool isBalancer)
 {
     std::vector<std::size_t> steady;
@@ -309,18 +351,100 @@
     if (this->hasStoreFault)
         return;
     constexpr auto kinds = std::uint64_t(standin::StoreFault::Forgetful);
-    const auto fault = standin::StoreFault(1 + this->random() % kinds);
+    this->beginStoreFault(standin::StoreFault(1 + this->random() % kinds), at);
+    this->after(this->randomDuration(1000ms, 5000ms),
+                [this](TimePoint time) { this->endStoreFault(time); });
+}
+
+void Soak::beginStoreFault(standin::StoreFault fault, TimePoint at)
+{
     this->guarantees.log(at, std::string("fault=store kind=") + standin::nameOf(fault));
     this->store.setFault(fault);
     this->hasStoreFault = true;
-    this->after(this->randomDuration(1000ms, 5000ms), [this](TimePoint time) {
-        this->store.setFault(standin::StoreFault::None);
-        this->hasStoreFault = false;
-        this->storeFaultEndedAt = time;
-        this->guarantees.log(time, "fault=store kind=none");
+}
+
+void Soak::endStoreFault(TimePoint at)
+{
+    this->store.setFault(standin::StoreFault::None);
+    this->hasStoreFault = false;
+    this->storeFaultEndedAt = at;
+    this->guarantees.log(at, "fault=store kind=none");
+}
+
+// Nobody can tell a write that the operator makes while the store is away from one that waits for
+// its return: no call is answered, and the restore loses it, so that it is written again.
+void Soak::restoreStore(TimePoint at)
+{
+    if (this->hasStoreFault) {
+        this->after(copyInterval, [this](TimePoint time) { this->restoreStore(time); });
+        return;
+    }
+    ++this->injected["restored"];
+    this->guarantees.log(at, "event=fault kind=restored");
+    const StoreCopy &copy = this->copies[this->random() % this->copies.size()];
+    const bool isSilent = this->random() % 2 == 0;
+    this->beginStoreFault(isSilent ? standin::StoreFault::Silent : standin::StoreFault::Away, at);
+    this->after(this->randomDuration(1000ms, 3000ms), [this, copy](TimePoint time) {
+        const std::uint64_t lost = this->store.copy().revision - copy.content.revision;
+        this->guarantees.log(
+                time,
+                "event=restore lost_changes=" + std::to_string(lost) + " copy_age_ms="
+                        + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                 time - copy.at)
+                                                 .count()));
+        this->store.restore(copy.content);
+        this->hasLostWrites = true;
+        this->endStoreFault(time);
+        // The later copies are of what is lost.
+        std::erase_if(this->copies, [&](const StoreCopy &other) { return other.at > copy.at; });
+        this->after(this->randomDuration(0ms, 500ms),
+                    [this, copy](TimePoint) { this->writeAgain(copy); });
+        // Changes that follow are the ones that an earlier view could hide.
+        this->after(this->randomDuration(500ms, 3000ms), [this](TimePoint later) {
+            if (this->random() % 2 == 0)
+                this->inject("change_route", &Soak::changeRoute, later);
+            else
+                this->inject("evacuate", &Soak::evacuate, later);
+        });
     });
 }
 
+// Other faults, which are frequent, suspend the bounds that a restore may break.
+void Soak::restoreBesidesNoFault()
+{
+    this->inject("change_route", &Soak::changeRoute, this->now);
+    this->inject("evacuate", &Soak::evacuate, this->now);
+    this->after(this->randomDuration(1000ms, 4000ms),
+                [this](TimePoint at) { this->restoreStore(at); });
+}
+
+void Soak::writeAgain(const StoreCopy &copy)
+{
+    if (this->publication.version != copy.version)
+        this->store.publish(this->publication);
+    for (const std::string zone : zones) {
+        const bool isEvacuated = this->evacuatedAt.contains(zone);
+        if (isEvacuated != copy.evacuatedZones.contains(zone))
+            this->store.setEvacuated(zone, isEvacuated);
+    }
+    this->hasLostWrites = false;
+}
+
+void Soak::checkDirectory()
+{
+    const std::vector<Endpoint> entries = this->store.directory();
+    for (std::size_t i = 0; i < this->fleet.size(); ++i) {
+        const Fleet::Node &node = this->fleet.at(i);
+        if (!this->fleet.isBalancer(i) || node.state != Fleet::State::Up
+            || this->now - node.stateChangedAt < directoryLimit)
+            continue;
+        const Endpoint mesh{ node.options.address, meshPort };
+        this->guarantees.check(Guarantee::DirectoryKept,
+                               std::find(entries.begin(), entries.end(), mesh) != entries.end(),
+                               this->now, "node=" + node.options.name);
+    }
+}
+
 void Soak::startServerAfter(Server &server, Duration delay, RunOptions run)
 {
     this->after(delay, [this, &server, run](TimePoint at) {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -1,9 +1,11 @@
 #ifndef CACTUSDECK_SOAK_SOAK_H
 #define CACTUSDECK_SOAK_SOAK_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 #include "platform/standin/store.h"
@@ -47,6 +49,18 @@
     };
     static const std::vector<NamedFault> faults;
 
+    // Of the store, with what the operator had written by then.
+    struct StoreCopy
+    {
+        TimePoint at;
+        standin::StoreContent content;
+        std::uint64_t version = 0;
+        std::set<std::string> evacuatedZones;
+    };
+
+    // Seeds below have no restores and draw nothing for them, so that seeds that have failed before
+    // play the same faults as then.
+    static constexpr std::uint64_t firstSeedWithRestores = 1001;
     static constexpr std::chrono::milliseconds warmUp{ 3000 };
     // The platform's limits: how soon a change must be in force, and how soon after a fault of the
     // store or of nodes has ended.
@@ -58,9 +72,16 @@
     static constexpr std::chrono::milliseconds openingCheckTime{ 3000 };
     static constexpr std::chrono::milliseconds stopLimit{ 6000 }; // the platform's grace period
     static constexpr double coldRequestsPerSecond = 4;
+    static constexpr std::chrono::milliseconds copyInterval{ 500 };
+    static constexpr std::chrono::milliseconds greatestCopyAge{ 9000 };
+    // A balancer writes its entry 8 s after its start, and within 2 s after it knows of a restore;
+    // it calls again 5 s after a failed call.
+    static constexpr std::chrono::milliseconds directoryLimit{ 8500 };
 
     Result<void> build();
     void scheduleFaults(TimePoint from, TimePoint until);
+    void scheduleRestores(TimePoint from, TimePoint until);
+    void inject(const char *name, Fault fault, TimePoint at);
     void after(Duration delay, Action action) { this->actions.emplace(this->now + delay, action); }
     Duration randomDuration(std::chrono::milliseconds least, std::chrono::milliseconds most);
     std::optional<std::size_t> randomRunningNode(bool isBalancer);
@@ -72,8 +93,15 @@
     void startServerAfter(Server &server, Duration delay, RunOptions run);
     void step();
     void runUntil(TimePoint end);
+    void finishActions();
     void publish();
     void updateExpectations();
+    void copyStore();
+    // The operator writes what the restored store has lost.
+    void writeAgain(const StoreCopy &copy);
+    void beginStoreFault(standin::StoreFault fault, TimePoint at);
+    void endStoreFault(TimePoint at);
+    void checkDirectory();
     bool report() const;
 
     void killNode(TimePoint at);
@@ -82,6 +110,8 @@
     void freezeNode(TimePoint at);
     void stopBalancer(TimePoint at);
     void disturbStore(TimePoint at);
+    void restoreStore(TimePoint at);
+    void restoreBesidesNoFault();
     void crashServer(TimePoint at);
     void drainServer(TimePoint at);
     void changeRoute(TimePoint at);
@@ -105,6 +135,8 @@
     TimePoint routeChangedAt{}; // last change of changingRoute
     TimePoint storeFaultEndedAt{};
     bool hasStoreFault = false;
+    std::deque<StoreCopy> copies; // the oldest first
+    bool hasLostWrites = false; // the operator has not written them again yet
     std::map<std::string, TimePoint> evacuatedAt; // start of each evacuation in force, by zone
     std::map<std::string, TimePoint> returnedAt; // zones whose return may not be known everywhere
 };
