Don't end a half-open flow for a reset that is not passed on

What callers would see: a server drops a flow before the caller's first acknowledgement reaches the agent, and its reset is not passed on, since the flow is not open there. Then the caller acknowledges the server's opening answer: the flow opens at the agent, but counts as ended. The server returns each of its packets, and for an ended flow the agent takes no action. The caller hears nothing until it gives up; before it had the reset.

Cause: the dropped reset still ended the half-open flow in the agent's table.

Change: a reset that is not for the caller changes nothing in the table. If the caller chooses this server, the flow opens, and the first packet that the server returns resets it (server_lost_flow). If it chooses another server, the flow is removed after the 3 s of flows that do not open.

Ruled out: a server that resets the next data instead of returning it; that reset is passed on, since the flow is open by then.

Test, failing before (no reset after 5 packets in 2 s) and passing now: unownedFlow/resetsAFlowThatItsServerResetBeforeItWasOpen.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -277,16 +277,16 @@
                  { { "flow", toString(key) }, { "reason", "earlier_flow" } });
         return;
     }
-    const bool isForCaller =
-            !segment->has(tcpflag::rst) || this->onServerReset(key, flow, now, sink);
+    // A reset that is not for the caller does not end the flow either: the caller may still choose
+    // this server, and learns then from the server's answer whether it has the flow.
+    if (segment->has(tcpflag::rst) && !this->onServerReset(key, flow, now, sink))
+        return;
     if (flow != nullptr) {
         const bool wasAnswered = flow->isAnswered;
         this->flows.onServer(*flow, *segment, this->record.slots(), now);
         if (segment->isOpeningAnswer() && !wasAnswered)
             this->reply(Verdict::Accepted, key, flow->balancer, sink);
     }
-    if (!isForCaller)
-        return;
     ++this->counts.toCaller;
     sink.toCaller(segment->key.destination, segment->bytes);
 }
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -158,4 +158,20 @@
     BOOST_TEST(this->world.agent("a1").agent->counters().droppedResets == 1u);
 }
 
+// A server drops a flow before the caller's acknowledgement reaches the agent, and returns the
+// packets that follow.
+BOOST_AUTO_TEST_CASE(resetsAFlowThatItsServerResetBeforeItWasOpen)
+{
+    const FlowKey key{ .source = callerOf(1), .destination = booking };
+    this->world.fromCaller("b1", opening(callerOf(1), booking));
+    this->world.run(10ms);
+    const World::ToCaller answer = this->world.packetsTo(callerOf(1)).front();
+    BOOST_TEST_REQUIRE(answer.sender == "a1");
+    this->world.agent("a1").server.flows.erase(key);
+    this->resetFromServer("a1", answer.segment.sequence + 1);
+    for (int copy = 0; copy < 5; ++copy)
+        BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 400ms));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
