Don't give a later flow of the same ports to an abandoned open one

What callers would see: a caller gives up a flow without telling its server and opens another one with the same addresses and ports, which another server takes. A balancer that has the earlier flow's agent in its cache sends it the caller's packets. The agent still counts the earlier flow as open, gives the packet to its server, and when the server returns it (or resets it) the caller's open flow is reset, although its own server is sound. The same for a search that asks this agent: it claims the flow.

Cause: compares the acknowledgement with what the server has sent only for ended flows; a flow whose caller is gone stays open here until it has been idle for the idle time-out.

Change: the comparison applies to every flow that the agent has seen open. All packets of the server pass the agent, so a caller cannot acknowledge more than the agent has seen, apart from the margin of 76,800 bytes. Adopted flows, whose numbers are not known, and resets of callers are exempt as before.

Ruled out: a packet of the flow itself, unless its agent has restarted and then got a copy of the opening packet of a flow that has sent more than the margin; there the server's packets are already dropped as an earlier flow's.

Test, failing before (1 reset) and passing now: unownedFlow/keepsAFlowThat- ReusesPortsOfAnAbandonedOne.

--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -38,7 +38,7 @@
 bool ServerFlow::isFollowedBy(const Segment &callerPacket) const
 {
     // A reset need not acknowledge anything.
-    return this->hasEnded && this->openingSequence && !callerPacket.has(tcpflag::rst)
+    return this->isOpen && this->openingSequence && !callerPacket.has(tcpflag::rst)
            && callerPacket.acknowledgement - this->serverSequence
                       > this->serverNext - this->serverSequence + serverWindow;
 }
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -55,8 +55,9 @@
     // True for a packet of the server that belongs to an earlier flow of the same addresses and
     // ports: its sequence number is none that the server can use in this flow.
     bool isPrecededBy(const Segment &serverPacket) const;
-    // True if this flow has ended and the caller's packet belongs to a later flow of the same
-    // addresses and ports: it acknowledges a number that the server did not reach in this flow.
+    // True if the caller's packet belongs to a later flow of the same addresses and ports: it
+    // acknowledges a number that the server has not reached in this flow. The agent may not know
+    // that this flow has ended, since a caller that gives up need not say so.
     bool isFollowedBy(const Segment &callerPacket) const;
 };
 
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -174,4 +174,21 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) > 0u);
 }
 
+// The agent keeps a flow as open whose caller is gone; the caller's ports are used for another flow
+// at another server, and a balancer still has the earlier flow's agent in its cache.
+BOOST_AUTO_TEST_CASE(keepsAFlowThatReusesPortsOfAnAbandonedOne)
+{
+    const FlowKey key{ .source = callerOf(1), .destination = booking };
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    Server &former = this->world.agent("a1").server;
+    former.flows.erase(key);
+    this->world.fromCaller("b2", opening(callerOf(1), booking));
+    this->world.run(10ms);
+    BOOST_TEST(this->world.packetsTo(callerOf(1)).back().sender == "a2");
+    // The cache of b1 still names a1, so the first copy of the packet may be lost.
+    this->world.request("b1", callerOf(1), booking);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
