Don't adopt a flow for an acknowledgement that may be a FIN's

What callers would see: a reset of an open flow by a server that does not have it. The data and then the FIN of a flow reach an agent that does not know all flows, through two balancers or with another flow of the same ports ended at its server. The server resets the data and acknowledges the FIN. The agent adopts the flow for that acknowledgement, claims it in later searches, and passes the next reset of its server on to the caller.

Cause: asks the last probe whether it was a FIN. The reset of the data ends the probe before the FIN's acknowledgement arrives, and an acknowledgement without a probe adopted the flow; a probe of other packets that follows the FIN's replaces it and with it the mark.

Change: an acknowledgement without data adopts a flow only if a packet of it was probed and no probe since the last answer was a FIN. Data and a FIN of the server adopt as before. So a flow from before the agent's restart is adopted by its next data or probe instead of an acknowledgement that comes unasked.

Ruled out: the reset itself; it is dropped before the adoption.

Tests, failing before (adopted 1, 1 reset each) and passing now: unownedFlow/ adoptsNoFlowForTheAcknowledgementOfAFinAfterAReset and ...OfAFinBeforeAnother- Probe.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -161,7 +161,7 @@
         Endpoint balancer;
         TimePoint sentAt;
         std::vector<Endpoint> remaining; // agents that get the packet if the server bounces it
-        bool isClosing = false; // the packet finishes the flow
+        bool isClosing = false; // the packet, or one probed before it, finishes the flow
         // Kept only if there are agents remaining, since a server that resets a packet does not
         // return it.
         std::vector<std::uint8_t> packet;
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -213,7 +213,9 @@
                  .isClosing = segment.has(tcpflag::fin) };
     if (!probe.remaining.empty() && this->probes.size() < maxKeptProbePackets)
         probe.packet.assign(segment.bytes.begin(), segment.bytes.end());
-    this->probes[segment.key] = std::move(probe);
+    Probe &kept = this->probes[segment.key];
+    probe.isClosing |= kept.isClosing; // the earlier probe may not have been answered yet
+    kept = std::move(probe);
     this->sendToServer(segment.bytes, now, sink);
 }
 
@@ -296,11 +298,12 @@
     if (this->record.startedAfterAgent() || serverPacket.has(tcpflag::rst)
         || serverPacket.isOpeningAnswer())
         return false;
+    if (serverPacket.payloadLength > 0 || serverPacket.has(tcpflag::fin))
+        return true;
     // A server also acknowledges the end of a flow that has ended there, which may be an earlier
-    // flow of the same addresses and ports.
+    // flow of the same addresses and ports. Without a probe it is not known what it acknowledges.
     const auto probe = this->probes.find(key);
-    const bool isBare = serverPacket.payloadLength == 0 && !serverPacket.has(tcpflag::fin);
-    return !isBare || probe == this->probes.end() || !probe->second.isClosing;
+    return probe != this->probes.end() && !probe->second.isClosing;
 }
 
 bool Agent::onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink)
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -46,6 +46,34 @@
                                    this->world.now, *node.sink);
     }
 
+    // The server of the agent acknowledges the flow of callerOf(1).
+    void acknowledgeFromServer(const std::string &agent, std::uint32_t sequence,
+                               std::uint32_t acknowledgement)
+    {
+        World::AgentNode &node = this->world.agent(agent);
+        node.agent->onServerPacket(encodeSegment({ .source = booking,
+                                                   .destination = callerOf(1),
+                                                   .sequence = sequence,
+                                                   .acknowledgement = acknowledgement,
+                                                   .flags = tcpflag::ack }),
+                                   this->world.now, *node.sink);
+    }
+
+    // The agent gets the packet from b2, whose search it is.
+    void probe(const std::string &agent, const Head &head)
+    {
+        World::AgentNode &node = this->world.agent(agent);
+        const Endpoint balancer = this->world.balancer("b2").endpoint;
+        ForwardFrame frame{ .flags = frameflag::probe, .replyTo = balancer, .hopCount = 1 };
+        frame.hops[0].agent = node.endpoint;
+        FrameBuffer buffer;
+        const auto header = encodeForward(frame, buffer);
+        const Bytes packet = encodeSegment(head);
+        Bytes datagram(header.begin(), header.end());
+        datagram.insert(datagram.end(), packet.begin(), packet.end());
+        node.agent->onDatagram(datagram, balancer, this->world.now, *node.sink);
+    }
+
     World world;
 };
 
@@ -191,4 +219,56 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
 }
 
+// The reset of probed data ends the probe before the same server acknowledges the FIN that followed
+// the data. It has neither shown that it has the flow.
+BOOST_AUTO_TEST_CASE(adoptsNoFlowForTheAcknowledgementOfAFinAfterAReset)
+{
+    this->addServerThatResets("a3").isUp = false; // the test answers for it
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    const std::uint32_t next = this->world.packetsTo(callerOf(1)).front().segment.sequence + 1;
+    const Head data{ .source = callerOf(1),
+                     .destination = booking,
+                     .sequence = 78,
+                     .acknowledgement = next,
+                     .length = 50,
+                     .flags = tcpflag::ack };
+    const Head fin{ .source = callerOf(1),
+                    .destination = booking,
+                    .sequence = 128,
+                    .acknowledgement = next,
+                    .flags = tcpflag::fin | tcpflag::ack };
+    this->probe("a3", data);
+    this->probe("a3", fin);
+    this->resetFromServer("a3", next);
+    this->acknowledgeFromServer("a3", next, 129);
+    this->resetFromServer("a3", next);
+    const AgentCounters &counters = this->world.agent("a3").agent->counters();
+    BOOST_TEST(counters.probes == 2u);
+    BOOST_TEST(counters.adopted == 0u);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
+// A packet that was sent before the FIN is probed after it.
+BOOST_AUTO_TEST_CASE(adoptsNoFlowForTheAcknowledgementOfAFinBeforeAnotherProbe)
+{
+    this->addServerThatResets("a3").isUp = false; // the test answers for it
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    const std::uint32_t next = this->world.packetsTo(callerOf(1)).front().segment.sequence + 1;
+    this->probe("a3", { .source = callerOf(1),
+                        .destination = booking,
+                        .sequence = 128,
+                        .acknowledgement = next,
+                        .flags = tcpflag::fin | tcpflag::ack });
+    this->probe("a3", { .source = callerOf(1),
+                        .destination = booking,
+                        .sequence = 78,
+                        .acknowledgement = next,
+                        .length = 50,
+                        .flags = tcpflag::ack });
+    this->acknowledgeFromServer("a3", next, 129);
+    this->resetFromServer("a3", next);
+    BOOST_TEST(this->world.agent("a3").agent->counters().adopted == 0u);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
