Don't take a late heartbeat of an earlier run for the next run's

What callers would see: all open flows of a sound server are reset. An agent has restarted since its server was replaced, so it knows only the present run. Then a heartbeat of the earlier run arrives that a partition had delayed: the agent takes it for another run, resets the flows (flows_reset, reason=server_replaced), takes over its state (draining, say) and reports that it knows all flows, so that balancers count it as a no in searches.

Cause: the record recognizes an earlier run only if it has itself seen it replaced. The start time that each heartbeat states was not compared, since the clock may have been set back between two runs.

Change: a heartbeat of a run with an earlier start time is stale, unless it is the run's first one or the present run has been silent for 3 s, as for replaced runs. The next run of a server whose clock was set back counts at its first heartbeat as before; if that one is lost, 3 s after the earlier run's last.

Ruled out, not changed: a late heartbeat that reaches the restarted agent before the first one of the present run. The agent can't tell it from the present run's then; the flows that it adopted before are still reset.

Tests, failing before (7 checks) and passing now: serverRecord/aDelayedHeartbeat- OfAnUnknownEarlierRunIsStale, serverFailure/keepsFlowsWhenAHeartbeatOfAnEarlier- RunIsLate.

--- a/mesh/serverfailure_test.cpp
+++ b/mesh/serverfailure_test.cpp
@@ -93,6 +93,28 @@
     BOOST_TEST(this->world.agent("a1").agent->load().inProgress() == 0u);
 }
 
+// A heartbeat of an earlier run was delayed until the agent, which has restarted, knew only the
+// next run. The flows of that run live.
+BOOST_AUTO_TEST_CASE(keepsFlowsWhenAHeartbeatOfAnEarlierRunIsLate)
+{
+    this->world.restartServer("a1", "server-a1-again");
+    this->world.run(3s);
+    this->world.restartAgent("a1");
+    this->world.run(3s);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.run(2s);
+    World::AgentNode &node = this->world.agent("a1");
+    BOOST_TEST(node.agent->onHeartbeat({ .instance = "server-a1",
+                                         .startedAt = 1,
+                                         .sequence = 9,
+                                         .service = ServiceName{ "booking" },
+                                         .address = { node.endpoint.address, 8000 },
+                                         .slots = 5 },
+                                       this->world.now, *node.sink));
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 // A flow of the earlier run that was opened after its last heartbeat is reset when the next run
 // returns one of its packets.
 BOOST_AUTO_TEST_CASE(resetsAFlowThatTheNextRunReturns)
--- a/mesh/serverrecord.cpp
+++ b/mesh/serverrecord.cpp
@@ -26,7 +26,11 @@
         return HeartbeatVerdict::Stale;
     const bool isReplaced =
             std::find(this->replaced.begin(), this->replaced.end(), run) != this->replaced.end();
-    if (isReplaced && now - this->current.lastHeard < replacedRunSilence)
+    // Heard of for the first time, for example because the agent has restarted. The first heartbeat
+    // of a run counts whatever its start time, since the clock may have been set back.
+    const bool isEarlier = !isSame && heartbeat.sequence > firstSequence && heartbeat.startedAt != 0
+                           && heartbeat.startedAt < this->startedAt;
+    if ((isReplaced || isEarlier) && now - this->current.lastHeard < replacedRunSilence)
         return HeartbeatVerdict::Stale;
     if (!isSame && !isFirst) {
         this->replaced.push_back(this->current.id);
@@ -40,6 +44,7 @@
     const bool wasEnded = isSame && this->currentPhase == ServerPhase::Ended;
     this->current = { .id = run, .sequence = heartbeat.sequence, .lastHeard = now };
     this->instance = heartbeat.instance;
+    this->startedAt = heartbeat.startedAt;
     this->slotCount = std::max<std::uint32_t>(1, heartbeat.slots);
     // A heartbeat states the remaining time, so the clocks of agent and server need not agree.
     this->coldUntil = now + heartbeat.coldFor;
--- a/mesh/serverrecord.h
+++ b/mesh/serverrecord.h
@@ -41,9 +41,9 @@
 class ServerRecord
 {
 public:
-    // A heartbeat from a replaced run is accepted only if the current run has been silent for this
-    // time, so that a delayed heartbeat does not displace the successor. Heartbeats come every
-    // 1.2 s, so the current run has then missed two.
+    // A heartbeat from a replaced or earlier run is accepted only if the current run has been
+    // silent for this time, so that a delayed heartbeat does not displace the successor. Heartbeats
+    // come every 1.2 s, so the current run has then missed two.
     static constexpr std::chrono::milliseconds replacedRunSilence{ 3000 };
 
     HeartbeatVerdict onHeartbeat(const Heartbeat &heartbeat, TimePoint now);
@@ -74,6 +74,7 @@
 
     Run current;
     std::string instance;
+    std::int64_t startedAt = 0; // that the current run has stated
     std::deque<std::uint64_t> replaced; // ids of earlier runs, newest last
     ServerPhase currentPhase = ServerPhase::Unknown;
     std::uint32_t slotCount = 1;
--- a/mesh/serverrecord_test.cpp
+++ b/mesh/serverrecord_test.cpp
@@ -55,6 +55,22 @@
     BOOST_TEST(record.startedAfterAgent());
 }
 
+// The agent has started between the two runs, so it does not know the earlier one.
+BOOST_AUTO_TEST_CASE(aDelayedHeartbeatOfAnUnknownEarlierRunIsStale)
+{
+    ServerRecord record;
+    record.onHeartbeat(heartbeatOf(2, 7), start);
+    const std::uint64_t current = record.incarnation();
+    BOOST_TEST(int(record.onHeartbeat(heartbeatOf(1, 51, true), start + 1s))
+               == int(HeartbeatVerdict::Stale));
+    BOOST_TEST(record.incarnation() == current);
+    BOOST_TEST(int(record.phase()) == int(ServerPhase::Ready));
+    BOOST_TEST(!record.startedAfterAgent());
+    // Accepted once the current run has been silent for long enough: its clock may be behind.
+    BOOST_TEST(int(record.onHeartbeat(heartbeatOf(1, 52), start + 4s))
+               == int(HeartbeatVerdict::NewServer));
+}
+
 BOOST_AUTO_TEST_CASE(aDelayedHeartbeatDoesNotReplaceTheSuccessor)
 {
     ServerRecord record;
