List the configuration after an outage of the store

What callers would see: a route that the operator adds within half a second of the return of a restored store is refused for as long as the answers of probes are outdated, which may be seconds (CONFIG).

Cause: after an outage the first answer is that of a probe, which may be from before the restore and carry its era. The topics were then watched from revisions of the earlier era. If the restored store had reached them again, the watch waited instead of ending with 410, and hid the changes below. Class of fault: a counter of one history orders the states of another.

Change: after an outage the configuration is listed. A list is up to date and shows the era, which makes both topics be listed. One more call for each reader and outage.

Ruled out: revisions that the store has not reached (410 at once); an outage in which the readers change (the new ones list). Remains: a restore between two probes that leaves the watches silent; platform.md has its bound.

Tests, failing before: stateReader/ learnsTheEraAfterAnOutageInSpiteOfAnOutdatedProbe and storeRestore/ aChangeRightAfterARestoreIsInForceWhileProbesAreOutdated. The latter world answers probes with what the store had 4 s before. mesh_test passes.

--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -168,21 +168,30 @@
     this->store.configuration = next;
     published()[next.version] = next;
     this->store.configurationRevision = ++this->store.revision;
+    this->recordStore();
 }
 
 void World::setEvacuated(std::set<ZoneName> evacuated)
 {
     this->store.zones = std::move(evacuated);
     this->store.zonesRevision = ++this->store.revision;
+    this->recordStore();
 }
 
 void World::restoreStore(const StoreContent &copy)
 {
     this->store = copy;
     ++this->storeEra;
+    this->recordStore();
     this->loseWatches();
 }
 
+void World::recordStore()
+{
+    this->storeRecords.push_back(
+            { .at = this->now, .era = this->storeEra, .content = this->store });
+}
+
 void World::loseWatches()
 {
     for (auto &[name, queries] : this->waiting) {
@@ -330,6 +339,19 @@
     if (waiting.isLost)
         return this->now < waiting.timeout ? std::nullopt
                                            : std::optional(StoreResult{ .query = query });
+    if (query.isProbe && this->probeAge > Duration::zero()) {
+        StoreRecord past;
+        for (const StoreRecord &record : this->storeRecords) {
+            if (record.at <= this->now - this->probeAge)
+                past = record;
+        }
+        result.era = past.era;
+        result.asOf = past.content.revision;
+        result.kind = StoreResultKind::Answered;
+        for (const ZoneName &zone : past.content.zones)
+            result.objects.push_back({ .name = zone.value });
+        return result;
+    }
     if (query.since > this->store.revision) {
         result.kind = StoreResultKind::HistoryLost;
         return result;
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -152,6 +152,8 @@
     double loss = 0; // share of the datagrams between nodes that are lost
     // While set, the store never answers queries that are waiting or arrive, not even later.
     bool isStoreSilent = false;
+    // Probes are answered with what the store had this long ago, era included.
+    Duration probeAge{ 0 };
 
 private:
     friend class NodeSink;
@@ -183,6 +185,7 @@
     void sendHeartbeat(const std::string &name);
     void checkServer(AgentNode &node);
     void askStore(const std::string &name);
+    void recordStore();
     // Returns nullopt while the query has to wait.
     std::optional<StoreResult> resultOf(const WaitingQuery &waiting, bool hasStore) const;
     void fetch(const std::string &name);
@@ -203,6 +206,13 @@
     std::map<std::string, std::vector<WaitingQuery>> waiting; // by balancer
     StoreContent store;
     StoreEra storeEra = 1;
+    struct StoreRecord
+    {
+        TimePoint at;
+        StoreEra era = 1;
+        StoreContent content;
+    };
+    std::vector<StoreRecord> storeRecords; // after each change
     std::uint32_t hosts = 0;
     std::uint32_t serverSequence = 1000;
 };
--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -168,6 +168,11 @@
         return;
     if (result.kind != StoreResultKind::Failed) {
         this->onAnswer(this->probes, result, now, sink);
+        // The store may have been restored while it did not answer, and this answer may date from
+        // before. A list is up to date and shows the era, also if a watch would show no change.
+        Topic &configuration = this->topics[std::size_t(StoreTopic::Configuration)];
+        if (this->isStoreDoubted && configuration.pendingQuery == 0)
+            configuration.revision = 0;
         this->isStoreDoubted = false;
         this->probes.backoff = firstProbeBackoff;
         this->probes.nextAt = now + probeInterval + this->jitterOf(probeInterval / 5);
--- a/mesh/statereader_test.cpp
+++ b/mesh/statereader_test.cpp
@@ -293,6 +293,22 @@
     BOOST_TEST(next.since == 30u);
 }
 
+// The store has been restored while it did not answer, the answer of the next probe dates from
+// before, and the restored store has reached the revisions of the watches again.
+BOOST_AUTO_TEST_CASE(learnsTheEraAfterAnOutageInSpiteOfAnOutdatedProbe)
+{
+    this->answer(StoreTopic::Configuration, 40);
+    this->answer(StoreTopic::Evacuations, 40);
+    this->query(StoreTopic::Evacuations);
+    this->failProbe();
+    this->answerProbe(40);
+    BOOST_TEST(this->query(StoreTopic::Configuration).since == 0u);
+    this->era = 2;
+    this->answer(StoreTopic::Configuration, 41);
+    BOOST_TEST(this->query(StoreTopic::Configuration).since == 0u);
+    BOOST_TEST(this->query(StoreTopic::Evacuations).since == 0u);
+}
+
 // A watch that reports its changes in a newer era may have missed others.
 BOOST_AUTO_TEST_CASE(listsAgainWhenAWatchEndsInANewEra)
 {
--- a/mesh/storerestore_test.cpp
+++ b/mesh/storerestore_test.cpp
@@ -223,4 +223,24 @@
     BOOST_TEST(this->isEvacuatedEverywhere(false));
 }
 
+// Probes may be answered from before the restore for some seconds. A watch that was opened
+// meanwhile from a revision which the restored store had reached again hid the changes up to that
+// revision.
+BOOST_AUTO_TEST_CASE(aChangeRightAfterARestoreIsInForceWhileProbesAreOutdated)
+{
+    const World::StoreContent copy = this->world.copyStore();
+    this->publishRoutes(3);
+    this->world.probeAge = 4s;
+    // Shorter than the time after which other balancers become readers.
+    this->world.isStoreSilent = true;
+    this->world.run(700ms);
+    this->world.isStoreSilent = false;
+    this->world.restoreStore(copy);
+    this->world.publish(this->last);
+    this->publishRoute();
+    this->publishRoute();
+    this->world.run(3s);
+    BOOST_TEST(this->isInForce());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
