Hold a lost evacuation anew when another restore follows

What callers would see: when a store is restored twice within 3 s, flows to servers of an evacuated zone are offered there, and turned away by agents, before operators have had the 3 s to write the evacuation again.

Cause: a balancer started the time of its hold at a new era only for evacuations that the store had listed in the era before, not for those that were already held.

Change: an evacuation in force at a new era, listed or held, is held for 3 s.

Ruled out: a hold that never ends; each further restore adds 3 s at most.

Test, failing before: storeRestore/ anEvacuationStaysInForceAfterTwoRestoresInQuickSuccession. mesh_test passes.

--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -118,7 +118,10 @@
     if (this->zonesAsOf.revision != 0 && !isNewEra && evacuatedZones == this->zones)
         return false;
     if (isNewEra) {
-        for (const ZoneName &zone : this->zones)
+        // Operators could not write again what an earlier restore lost if another one follows soon.
+        std::set<ZoneName> held = this->heldEvacuations(now);
+        held.insert(this->zones.begin(), this->zones.end());
+        for (const ZoneName &zone : held)
             this->heldUntil[zone] = now + restoreGrace;
     }
     for (const ZoneName &zone : evacuatedZones)
--- a/mesh/storerestore_test.cpp
+++ b/mesh/storerestore_test.cpp
@@ -243,4 +243,20 @@
     BOOST_TEST(this->isInForce());
 }
 
+// Two restores, the second within the time for which evacuations are held after the first.
+BOOST_AUTO_TEST_CASE(anEvacuationStaysInForceAfterTwoRestoresInQuickSuccession)
+{
+    const World::StoreContent copy = this->world.copyStore();
+    this->publishRoutes(3);
+    this->world.setEvacuated({ zoneB });
+    this->world.run(2s);
+    this->world.restoreStore(copy);
+    this->world.run(2500ms);
+    BOOST_TEST(this->isEvacuatedEverywhere());
+    this->world.restoreStore(copy);
+    this->world.run(2500ms);
+    BOOST_TEST(this->isEvacuatedEverywhere());
+    BOOST_TEST(this->openingsInZoneB() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
