Pass held evacuations on to balancers that start

What callers would see: after a restore of the store, new flows reach servers of a zone whose evacuation the store has lost, before operators have had the 3 s to write it again (EVAC), if a balancer and the agent of such a server start within these 3 s, as in a rolling restart.

Cause: held evacuations were no part of the state that a node fetches, so a balancer that started took the zone for one in service. An agent that has just started does not know of the evacuation either. Class of fault: what the store had acknowledged is taken to last.

Change: /state lists the held evacuations with the time left, in a field that nodes of an earlier release ignore. A node takes them over from a state of the same position in the store's history; a time above 3 s counts as 3 s.

Ruled out: a hold that nodes renew for each other, since the time left only shrinks; an evacuation that operators have written and ended again in the new era, whose position is later. An agent alone that starts meanwhile gets no flow, since balancers hold the evacuation.

Test, failing before: storeRestore/ nodesThatStartAfterARestoreHoldItsLostEvacuations. control/stateSurvivesEncoding passes the time to encode and decode, with the same checks. mesh_test, meshd_test and platform_test pass.

--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -85,7 +85,7 @@
     void onFetched(Endpoint peer, std::span<const std::uint8_t> state, TimePoint now, Sink &sink);
     void onFetchFailed(Endpoint peer, TimePoint now, Sink &sink);
     // Encodes what peers fetch: the state and the agents that may own flows.
-    std::vector<std::uint8_t> encodeState() const;
+    std::vector<std::uint8_t> encodeState(TimePoint now) const;
     const FleetState &state() const { return this->fleet; }
 
     // Adds mesh endpoints of balancers that were found in the directory.
--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -120,7 +120,7 @@
     const bool isWhole = document.is_array() && document.size() == 2 && document[0].is_binary()
                          && document[1].is_binary();
     const std::optional<FleetState> decoded =
-            isWhole ? FleetState::decode(document[0].get_binary()) : std::nullopt;
+            isWhole ? FleetState::decode(document[0].get_binary(), now) : std::nullopt;
     if (!decoded) {
         sink.log(Level::Error, "state_malformed", { { "peer", toString(peer) } });
         return;
@@ -174,13 +174,13 @@
     this->fetchNotBefore = {};
 }
 
-std::vector<std::uint8_t> Balancer::encodeState() const
+std::vector<std::uint8_t> Balancer::encodeState(TimePoint now) const
 {
     std::vector<Endpoint> agents;
     for (const AgentIndex agent : this->directory.possibleOwners())
         agents.push_back(this->directory.at(agent).endpoint);
     nlohmann::json document = nlohmann::json::array();
-    document.push_back(nlohmann::json::binary(this->fleet.encode()));
+    document.push_back(nlohmann::json::binary(this->fleet.encode(now)));
     document.push_back(nlohmann::json::binary(encodeEndpoints(agents)));
     return nlohmann::json::to_cbor(document);
 }
--- a/mesh/control_test.cpp
+++ b/mesh/control_test.cpp
@@ -161,8 +161,8 @@
     state.adoptConfiguration(std::make_shared<FleetConfiguration>(configuration));
     const TimePoint now{ 1h };
     state.adoptEvacuations({ .era = 2, .revision = 21 }, { ZoneName{ "zone-b" } }, now);
-    const std::vector<std::uint8_t> bytes = state.encode();
-    const std::optional<FleetState> copy = FleetState::decode(bytes);
+    const std::vector<std::uint8_t> bytes = state.encode(now);
+    const std::optional<FleetState> copy = FleetState::decode(bytes, now);
     BOOST_REQUIRE(copy.has_value());
     BOOST_TEST(copy->configurationVersion() == configuration.version);
     BOOST_TEST((copy->evacuationsAsOf() == StorePosition{ .era = 2, .revision = 21 }));
@@ -171,7 +171,7 @@
     BOOST_TEST(copy->configuration()->services.at(ServiceName{ "booking" }).coldFlowsPerSecond
                == 2.5);
     for (std::size_t size = 0; size < bytes.size(); ++size)
-        BOOST_TEST(!FleetState::decode({ bytes.data(), size }).has_value());
+        BOOST_TEST(!FleetState::decode({ bytes.data(), size }, now).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(evacuatedZonesGetNoNewFlows)
--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -157,19 +157,35 @@
     // would keep fetching each other's state.
     if (other.zonesAsOf > this->zonesAsOf && other.zones == this->zones)
         this->zonesAsOf = other.zonesAsOf;
+    if (other.zonesAsOf == this->zonesAsOf)
+        this->adoptHeld(other);
     // Merge the targets of earlier configurations, since open flows may date from them.
     for (const auto &[address, services] : other.formerTargets)
         this->formerTargets[address].insert(services.begin(), services.end());
     return isConfigurationNew || areZonesNew;
 }
 
-std::vector<std::uint8_t> FleetState::encode() const
+void FleetState::adoptHeld(const FleetState &other)
+{
+    for (const auto &[zone, until] : other.heldUntil) {
+        if (!this->zones.contains(zone))
+            this->heldUntil[zone] = std::max(this->heldUntil[zone], until);
+    }
+}
+
+std::vector<std::uint8_t> FleetState::encode(TimePoint now) const
 {
     json document = { { "zonesEra", this->zonesAsOf.era },
                       { "zonesRevision", this->zonesAsOf.revision },
                       { "zones", json::array() } };
     for (const ZoneName &zone : this->zones)
         document["zones"].push_back(zone);
+    document["held"] = json::array();
+    for (const ZoneName &zone : this->heldEvacuations(now)) {
+        const auto left =
+                std::chrono::ceil<std::chrono::milliseconds>(this->heldUntil.at(zone) - now);
+        document["held"].push_back(json::array({ zone, left.count() }));
+    }
     document["former"] = json::array();
     for (const auto &[address, services] : this->formerTargets)
         document["former"].push_back(json::array({ address, services }));
@@ -178,7 +194,7 @@
     return json::to_cbor(document);
 }
 
-std::optional<FleetState> FleetState::decode(std::span<const std::uint8_t> bytes)
+std::optional<FleetState> FleetState::decode(std::span<const std::uint8_t> bytes, TimePoint now)
 {
     try {
         const json document = json::from_cbor(bytes.begin(), bytes.end());
@@ -188,6 +204,10 @@
                             .revision = document.at("zonesRevision") };
         for (const json &zone : document.at("zones"))
             state.zones.insert(zone.get<ZoneName>());
+        for (const json &entry : document.value("held", json::array())) {
+            const std::chrono::milliseconds left(entry.at(1).get<std::int64_t>());
+            state.heldUntil[entry.at(0).get<ZoneName>()] = now + std::min(left, restoreGrace);
+        }
         for (const json &entry : document.at("former"))
             entry.at(1).get_to(state.formerTargets[entry.at(0).get<Endpoint>()]);
         if (document.contains("configuration"))
--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -23,7 +23,7 @@
 //
 //     FleetState state;
 //     if (state.adoptConfiguration(configuration))
-//         sendToPeers(state.encode());
+//         sendToPeers(state.encode(now));
 
 namespace cactusdeck::mesh {
 
@@ -107,11 +107,15 @@
     // True if the service is a target of the address in the current or an earlier configuration.
     bool mayServe(Endpoint address, const ServiceName &service) const;
 
-    // CBOR, for the transfer between nodes.
-    std::vector<std::uint8_t> encode() const;
-    static std::optional<FleetState> decode(std::span<const std::uint8_t> bytes);
+    // CBOR, for the transfer between nodes. Held evacuations are transferred as the time left,
+    // since the nodes' clocks differ.
+    std::vector<std::uint8_t> encode(TimePoint now) const;
+    static std::optional<FleetState> decode(std::span<const std::uint8_t> bytes, TimePoint now);
 
 private:
+    // Holds what the other state holds too.
+    void adoptHeld(const FleetState &other);
+
     ConfigurationPointer routes; // null until a configuration is known
     std::set<ZoneName> zones;
     StorePosition zonesAsOf; // revision 0: nothing known
--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -386,7 +386,7 @@
     if (this->cuts.contains(pairOf(name, peer)) || !this->balancers.at(peer)->isUp)
         node.balancer->onFetchFailed(*from, this->now, *node.sink);
     else
-        node.balancer->onFetched(*from, this->balancers.at(peer)->balancer->encodeState(),
+        node.balancer->onFetched(*from, this->balancers.at(peer)->balancer->encodeState(this->now),
                                  this->now, *node.sink);
 }
 
--- a/mesh/storerestore_test.cpp
+++ b/mesh/storerestore_test.cpp
@@ -259,4 +259,19 @@
     BOOST_TEST(this->openingsInZoneB() == 0u);
 }
 
+// A balancer and an agent that start while an evacuation is held.
+BOOST_AUTO_TEST_CASE(nodesThatStartAfterARestoreHoldItsLostEvacuations)
+{
+    const World::StoreContent copy = this->world.copyStore();
+    this->publishRoutes(3);
+    this->world.setEvacuated({ zoneB });
+    this->world.run(2s);
+    this->restore(copy);
+    this->world.run(1s);
+    this->world.restartAgent("a2");
+    this->world.restartBalancer("b1");
+    this->world.run(1s);
+    BOOST_TEST(this->openingsInZoneB() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -176,7 +176,7 @@
             return { .body = metricsText(this->balancer, this->loop.logWriter(), now),
                      .contentType = "text/plain" };
         if (request.target == stateTarget) {
-            const std::vector<std::uint8_t> state = this->balancer.encodeState();
+            const std::vector<std::uint8_t> state = this->balancer.encodeState(now);
             return { .body = std::string(state.begin(), state.end()),
                      .contentType = "application/cbor" };
         }
