Let the tests' servers run a request once and check numbers

The servers of mesh/meshworld_test.cpp took every packet of a flow that they had, answered copies of a request as if it were another one, always with the same sequence number, and at once. So no test could see that a request ran twice, that a packet of another flow of the same ports reached a server, or that a process ended before an answer.

Now a server counts the requests that it has run and answers a copy with a copy of the answer; its numbers rise with what it has sent; it takes an opening packet with another number for another flow and ignores (and counts) packets that acknowledge what it has not sent; it may take its time. Callers of the world use the numbers of their last opening packet.

Three tests of variants that had none.

--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -263,22 +263,72 @@
     Head reply{ .source = segment.key.destination, .destination = segment.key.source };
     if (segment.isOpening()) {
         Server::Flow &flow = server.flows[segment.key];
-        if (flow.sequence == 0) {
-            flow.sequence = this->serverSequence += 1000000000;
+        if (flow.sequence == 0 || flow.callerSequence != segment.sequence) {
+            this->serverSequence += 1000000000;
+            flow = { .callerSequence = segment.sequence,
+                     .sequence = this->serverSequence,
+                     .next = this->serverSequence + 1,
+                     .callerNext = segment.sequence + 1 };
             server.openings.push_back(this->now);
         }
         reply.sequence = flow.sequence;
+        reply.acknowledgement = flow.callerSequence + 1;
         reply.flags = tcpflag::syn | tcpflag::ack;
         answer(reply);
         return;
     }
-    ++held->second.packets;
+    Server::Flow &flow = held->second;
+    const std::uint32_t acknowledged = segment.acknowledgement - (flow.sequence + 1);
+    if (!segment.has(tcpflag::rst) && acknowledged > flow.next - (flow.sequence + 1)) {
+        ++server.laterFlowPackets;
+        reply.sequence = flow.next;
+        reply.acknowledgement = flow.callerSequence + 1;
+        reply.flags = tcpflag::ack;
+        if (server.acknowledgesLaterFlows)
+            answer(reply);
+        return;
+    }
+    ++flow.packets;
     if (segment.payloadLength == 0)
         return;
-    reply.sequence = held->second.sequence + 1;
+    const std::uint32_t end = segment.sequence + segment.payloadLength;
+    if (!isBefore(flow.callerNext, end)) {
+        if (flow.lastAnswer)
+            answer(*flow.lastAnswer);
+        return;
+    }
+    flow.callerNext = end;
+    flow.lastAnswer.reset();
+    ++server.requests;
+    reply.sequence = flow.next;
+    reply.acknowledgement = end;
     reply.flags = tcpflag::ack;
     reply.length = 100;
-    answer(reply);
+    this->pendingAnswers.push_back(
+            { this->now + server.serviceTime, name, server.instance, reply });
+    if (server.serviceTime == Duration::zero())
+        this->sendAnswers();
+}
+
+void World::sendAnswers()
+{
+    const auto isDue = [this](const PendingAnswer &pending) { return pending.at <= this->now; };
+    std::vector<PendingAnswer> due;
+    std::copy_if(this->pendingAnswers.begin(), this->pendingAnswers.end(), std::back_inserter(due),
+                 isDue);
+    std::erase_if(this->pendingAnswers, isDue);
+    for (const PendingAnswer &pending : due) {
+        AgentNode &node = *this->agents.at(pending.agent);
+        const FlowKey key{ .source = pending.head.destination, .destination = pending.head.source };
+        const auto flow = node.server.flows.find(key);
+        if (!node.server.isUp || node.server.instance != pending.instance
+            || flow == node.server.flows.end())
+            continue;
+        flow->second.lastAnswer = pending.head;
+        flow->second.next = pending.head.sequence + pending.head.length;
+        if (node.isUp)
+            node.agent->onServerPacket(encodeSegment(pending.head), this->now, *node.sink);
+    }
 }
 
 void World::sendHeartbeat(const std::string &name)
@@ -397,6 +447,7 @@
         this->deliveries.pop_front();
         this->deliver(delivery);
     }
+    this->sendAnswers();
     for (auto &[name, node] : this->balancers) {
         if (!node->isUp)
             continue;
@@ -426,6 +477,8 @@
 void World::fromCaller(const std::string &name, const Head &head)
 {
     BalancerNode &node = *this->balancers.at(name);
+    if ((head.flags & (tcpflag::syn | tcpflag::ack)) == tcpflag::syn)
+        this->callerSequences[head.source] = head.sequence;
     if (node.isUp)
         node.balancer->onCallerPacket(encodeSegment(head), this->now, *node.sink);
 }
@@ -470,10 +523,12 @@
 {
     const std::vector<ToCaller> before = this->packetsTo(caller);
     std::uint32_t acknowledged = 0;
-    std::uint32_t sequence = 78;
+    std::uint32_t sequence = this->callerSequences.at(caller) + 1;
     for (const ToCaller &packet : before) {
         if (packet.segment.isOpeningAnswer())
             acknowledged = packet.segment.sequence + 1;
+        else if (packet.segment.payloadLength > 0)
+            acknowledged = packet.segment.sequence + packet.segment.payloadLength;
         sequence += packet.segment.payloadLength;
     }
     this->fromCaller(name, { .source = caller,
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -35,12 +35,19 @@
 }
 
 // A simulated backend server that follows the platform's rules: it bounces packets of flows that it
-// does not have, and opening packets when it is full. Tests add flows that have ended there.
+// does not have, and opening packets when it is full. Tests add flows that have ended there. It
+// takes an opening packet with another sequence number for a new flow, and no packet that
+// acknowledges what it has not sent. It runs a request once, and answers a copy of it with a copy
+// of the answer.
 struct Server
 {
     struct Flow
     {
-        std::uint32_t sequence = 0;
+        std::uint32_t callerSequence = 0; // of the opening packet
+        std::uint32_t sequence = 0; // of the answer to it
+        std::uint32_t next = 0; // of the next data
+        std::uint32_t callerNext = 0; // of the caller's next data
+        std::optional<Head> lastAnswer;
         std::uint64_t packets = 0;
     };
 
@@ -54,9 +61,14 @@
     bool resetsUnknownFlows = false; // instead of bouncing their packets
     std::set<FlowKey> ended; // flows whose FINs are acknowledged and whose data is reset
     std::chrono::milliseconds coldFor{ 0 };
+    std::chrono::milliseconds serviceTime{ 0 }; // from a request to its answer
+    std::uint64_t requests = 0; // that it has run
     std::map<FlowKey, Flow> flows;
     std::vector<TimePoint> openings; // when flows were accepted
     std::uint64_t unknownFlowPackets = 0; // packets of flows that it does not have
+    // Packets of later flows of the same ports, which another server has.
+    std::uint64_t laterFlowPackets = 0;
+    bool acknowledgesLaterFlows = false; // answers such a packet with what it has of its own flow
 };
 
 class World
@@ -166,6 +178,15 @@
         Bytes bytes;
     };
 
+    // An answer that a server has not sent yet.
+    struct PendingAnswer
+    {
+        TimePoint at;
+        std::string agent;
+        std::string instance;
+        Head head;
+    };
+
     // A store query in progress.
     struct WaitingQuery
     {
@@ -178,6 +199,7 @@
     static std::pair<std::string, std::string> pairOf(const std::string &a, const std::string &b);
     void send(const std::string &from, Endpoint to, Bytes bytes);
     void toServer(const std::string &agent, std::span<const std::uint8_t> packet);
+    void sendAnswers();
     void startBalancer(const std::string &name);
     void addEndpoint(const std::string &name, Endpoint endpoint);
     void startAgent(const std::string &name);
@@ -203,6 +225,7 @@
     std::mt19937 random{ 1 };
     std::set<std::pair<std::string, std::string>> cuts;
     std::deque<Delivery> deliveries;
+    std::vector<PendingAnswer> pendingAnswers;
     std::map<std::string, std::vector<WaitingQuery>> waiting; // by balancer
     StoreContent store;
     StoreEra storeEra = 1;
@@ -215,6 +238,7 @@
     std::vector<StoreRecord> storeRecords; // after each change
     std::uint32_t hosts = 0;
     std::uint32_t serverSequence = 1000;
+    std::map<Endpoint, std::uint32_t> callerSequences; // of the callers' last opening packets
 };
 
 // The endpoint of a test's caller.
--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -91,6 +91,76 @@
     }
 }
 
+// A planned stop 1 ms after requests were accepted, and requests that are accepted while the agent
+// stops. Its process must not end before they are answered.
+BOOST_AUTO_TEST_CASE(aStopWaitsForTheAnswersOfRequestsThatWereJustAccepted)
+{
+    World::AgentNode &node = this->world.agent("a1");
+    const auto ask = [this](std::uint16_t port) {
+        const Segment answer = this->world.packetsTo(callerOf(port)).back().segment;
+        this->world.fromCaller("b1", { .source = callerOf(port),
+                                       .destination = booking,
+                                       .sequence = 78,
+                                       .acknowledgement = answer.sequence + 1,
+                                       .length = 50,
+                                       .flags = tcpflag::ack });
+        this->world.run(1ms);
+    };
+    std::vector<std::uint16_t> callers;
+    for (std::uint16_t port = 1; callers.size() < 4; ++port) {
+        if (this->world.openFlow("b1", callerOf(port), booking) == "a1")
+            callers.push_back(port);
+    }
+    node.server.serviceTime = 1s;
+    ask(callers[0]);
+    ask(callers[1]);
+    node.agent->stop(this->world.now, *node.sink);
+    ask(callers[2]);
+    this->world.run(100ms);
+    ask(callers[3]);
+    while (!node.agent->isStopped())
+        this->world.run(1ms);
+    node.isUp = false;
+    this->world.run(2s);
+    BOOST_TEST(node.server.requests == 4u);
+    for (const std::uint16_t port : callers) {
+        BOOST_TEST(this->world.packetsTo(callerOf(port)).back().segment.payloadLength == 100u);
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 0u);
+    }
+}
+
+// The answer of a request that may run once at most is lost, and with it what the balancers and the
+// agents know. The caller's copies of the request bring the answer and do not run it again.
+BOOST_AUTO_TEST_CASE(aRequestWhoseAnswerWasLostRunsOnce)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    World::AgentNode &node = this->world.agent("a1");
+    node.server.serviceTime = 50ms;
+    const Segment opened = this->world.packetsTo(callerOf(1)).back().segment;
+    const Head request{ .source = callerOf(1),
+                        .destination = booking,
+                        .sequence = 78,
+                        .acknowledgement = opened.sequence + 1,
+                        .length = 50,
+                        .flags = tcpflag::ack };
+    this->world.fromCaller("b1", request);
+    this->world.run(10ms);
+    node.isUp = false; // loses the answer
+    this->world.run(200ms);
+    for (const char *agent : { "a1", "a2" })
+        this->world.restartAgent(agent);
+    for (const char *balancer : { "b1", "b2" })
+        this->world.restartBalancer(balancer);
+    for (const Duration pause : { Duration(400ms), Duration(800ms), Duration(1600ms) }) {
+        this->world.fromCaller("b2", request);
+        this->world.run(pause);
+    }
+    BOOST_TEST(this->world.packetsTo(callerOf(1)).back().segment.payloadLength == 100u);
+    BOOST_TEST(node.server.requests == 1u);
+    BOOST_TEST(this->world.agent("a2").server.requests == 0u);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 // An agent that restarts knows nothing of its server and admits nothing until a heartbeat.
 BOOST_AUTO_TEST_CASE(aServerThatHasLeftIsNotUsedAfterARestartOfItsAgent)
 {
@@ -169,4 +239,21 @@
     BOOST_TEST(node.server.openings.size() == before);
 }
 
+// A balancer is stopped while it holds the opening packets that arrived right after its start.
+BOOST_AUTO_TEST_CASE(aStoppingBalancerPlacesTheOpeningPacketsThatItHolds)
+{
+    this->world.restartBalancer("b1");
+    World::BalancerNode &node = this->world.balancer("b1");
+    for (std::uint16_t port = 1; port <= 10; ++port)
+        this->world.fromCaller("b1", opening(callerOf(port), booking));
+    BOOST_TEST(node.balancer->counters().held == 10u);
+    node.balancer->stop(this->world.now, *node.sink);
+    this->world.run(500ms);
+    BOOST_TEST(!node.balancer->isStopped(this->world.now));
+    for (std::uint16_t port = 1; port <= 10; ++port) {
+        const std::vector<World::ToCaller> answers = this->world.packetsTo(callerOf(port));
+        BOOST_TEST(answers.size() == 1u);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
