Tell flows of the same ports apart wherever numbers are known

What callers would see, once they use addresses and ports again: an open flow is reset by the agent of another server, all answers of a flow are dropped, or its packets go to the wrong server.

Cause: an agent that had restarted learned of a flow from a packet of its server but not its numbers. It took any packet of the caller for one of that flow, any opening packet for a copy, and, after such a copy, every answer for one of an earlier flow if the server's numbers were in the upper half of their range.

Change: a flow that is discovered keeps the numbers of the packet that showed it, with room below for delayed packets. All comparisons apply to all open flows.

Tests, all failing on the code before and passing now: reusedPorts/ aLateAnswerAfterARestartClaimsNoFlowOfAnotherServer (1 reset), aLateAnswerAfterARestartDoesNotBlockTheNextFlow (no answer), aLateCopyAfterARestartKeepsTheFlow (no answer), anAbandonedFlowClaimsNoFlowOfAnotherServer (1 packet at the wrong server).

Ruled out as a cure: not to pass on what the server of an unknown flow sends; the answers that a server sends while its agent restarts would be late by a retransmission. So a late packet that shows an unknown flow still goes to the caller; only its later effects are gone.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -264,7 +264,7 @@
     const FlowKey key = segment->key.reversed();
     ServerFlow *flow = this->flows.find(key);
     if (flow == nullptr && this->provesOwnership(key, *segment)) {
-        flow = &this->flows.adopt(key, now);
+        flow = &this->flows.adopt(key, *segment, now);
         ++this->counts.adopted;
         if (const auto it = this->probes.find(key); it != this->probes.end()) {
             flow->balancer = it->second.balancer;
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -12,6 +12,10 @@
 // platform accepts a reset.
 constexpr std::uint32_t serverWindow = 76800;
 
+// How far the numbers of an adopted flow's packets may be below those of the packet by which it was
+// discovered, for packets that were delayed.
+constexpr std::uint32_t adoptedRange = 1 << 20;
+
 } // namespace
 
 bool ServerFlow::isAcknowledgedBy(const Segment &segment) const
@@ -22,14 +26,17 @@
 
 bool ServerFlow::isOpenedBy(const Segment &opening) const
 {
-    return !this->hasEnded && this->openingSequence.value_or(opening.sequence) == opening.sequence;
+    if (this->hasEnded)
+        return false;
+    // Copies come within a second, in which the caller has sent little.
+    return this->openingSequence ? *this->openingSequence == opening.sequence
+                                 : this->callerNext - opening.sequence < adoptedRange;
 }
 
 bool ServerFlow::isPrecededBy(const Segment &serverPacket) const
 {
-    // The sequence numbers of an adopted flow are not known, and a reset may use any.
-    if (!this->isOpen || !this->openingSequence || serverPacket.isOpeningAnswer()
-        || serverPacket.has(tcpflag::rst))
+    // A reset may use any number.
+    if (!this->isOpen || serverPacket.isOpeningAnswer() || serverPacket.has(tcpflag::rst))
         return false;
     return serverPacket.sequence - this->serverSequence
            > this->serverNext - this->serverSequence + serverWindow;
@@ -38,7 +45,7 @@
 bool ServerFlow::isFollowedBy(const Segment &callerPacket) const
 {
     // A reset need not acknowledge anything.
-    return this->isOpen && this->openingSequence && !callerPacket.has(tcpflag::rst)
+    return this->isOpen && !callerPacket.has(tcpflag::rst)
            && callerPacket.acknowledgement - this->serverSequence
                       > this->serverNext - this->serverSequence + serverWindow;
 }
@@ -60,9 +67,12 @@
     return flow;
 }
 
-ServerFlow &ServerFlows::adopt(const FlowKey &key, TimePoint now)
+ServerFlow &ServerFlows::adopt(const FlowKey &key, const Segment &serverPacket, TimePoint now)
 {
     ServerFlow &flow = this->open(key, now);
+    flow.serverSequence = serverPacket.sequence - adoptedRange;
+    flow.serverNext = serverPacket.sequence;
+    flow.callerNext = serverPacket.acknowledgement;
     flow.isOpen = true;
     flow.isAnswered = true;
     this->endFresh(flow);
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -28,13 +28,17 @@
     bool hasEnded = false; // one side has reset the flow, or both have finished it
     bool isCallerFinished = false;
     bool isServerFinished = false;
-    bool hasCallerData = false; // callerNext is known
+    bool hasCallerData = false; // callerNext is known from a packet of the caller
     bool isFresh = true; // the first request has not arrived yet
     bool isInProgress = false; // a request waits for the first byte of its response
     std::optional<std::uint32_t> openingSequence; // unknown for an adopted flow
-    std::uint32_t serverSequence = 0; // the server's initial sequence number
+    // The server's initial sequence number; for an adopted flow, a number below all of the
+    // server's.
+    std::uint32_t serverSequence = 0;
     std::uint32_t serverNext = 0; // sequence number after the highest server data seen
-    std::uint32_t callerNext = 0; // sequence number after the highest caller data seen
+    // Sequence number after the highest caller data seen or, before any, after what the server of
+    // an adopted flow has acknowledged.
+    std::uint32_t callerNext = 0;
     // The caller's last acknowledgement number or, before one is known, the sequence number of a
     // packet of the server. A reset to the caller uses it as its sequence number.
     std::uint32_t callerAcknowledgement = 0;
@@ -69,7 +73,7 @@
     // key.
     ServerFlow &open(const FlowKey &key, TimePoint now);
     // Adds a flow from before the agent's start, discovered by a packet of the server.
-    ServerFlow &adopt(const FlowKey &key, TimePoint now);
+    ServerFlow &adopt(const FlowKey &key, const Segment &serverPacket, TimePoint now);
     void erase(const FlowKey &key, TimePoint now);
     // A run of the server has ended: removes the flows opened before the time and restarts the load
     // measurement.
