Drop late packets of a server while its next flow opens

What callers would see: a late copy of an answer, between the answer to their opening packet and their acknowledgement, on a connection that is in use again.

Cause: the agent compared the numbers of a server's packets only for flows that were open. Besides, the late packet's number was taken for the flow's own, so that later copies passed too.

Change: until the caller has acknowledged its answer, a server sends nothing else but a reset; the agent drops what it does send.

Test, failing before (2 checks) and passing now: reusedPorts/ aLateAnswerIsDroppedWhileTheNextFlowOpens.

--- a/mesh/reusedports_test.cpp
+++ b/mesh/reusedports_test.cpp
@@ -155,6 +155,22 @@
     BOOST_TEST(this->world.resetsTo(caller) == 0u);
 }
 
+// A late answer arrived after the server had accepted the caller's next flow and before the caller
+// knew, and was passed on as part of it.
+BOOST_AUTO_TEST_CASE(aLateAnswerIsDroppedWhileTheNextFlowOpens)
+{
+    const Head late = this->earlierAnswer();
+    this->world.agent("a1").server.flows.erase(key);
+    BOOST_TEST(this->startLaterFlow("b1") == "a1");
+    this->fromServer("a1", late);
+    BOOST_TEST(this->world.packetsTo(caller).size() == 1u);
+    this->world.fromCaller("b1", this->next);
+    this->world.run(10ms);
+    this->fromServer("a1", late);
+    BOOST_TEST(this->world.packetsTo(caller).size() == 1u);
+    BOOST_TEST(this->requestOnLaterFlow("b1"));
+}
+
 // The caller gave up a flow without a word and used its ports again; the agent of the earlier flow
 // claimed the later one, whose packets then went to the wrong server.
 BOOST_AUTO_TEST_CASE(anAbandonedFlowClaimsNoFlowOfAnotherServer)
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -36,8 +36,11 @@
 bool ServerFlow::isPrecededBy(const Segment &serverPacket) const
 {
     // A reset may use any number.
-    if (!this->isOpen || serverPacket.isOpeningAnswer() || serverPacket.has(tcpflag::rst))
+    if (serverPacket.isOpeningAnswer() || serverPacket.has(tcpflag::rst))
         return false;
+    // Before the caller has acknowledged its answer, a server sends nothing else.
+    if (!this->isOpen)
+        return true;
     return serverPacket.sequence - this->serverSequence
            > this->serverNext - this->serverSequence + serverWindow;
 }
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -57,7 +57,7 @@
     // of a later flow with the same key.
     bool isOpenedBy(const Segment &opening) const;
     // True for a packet of the server that belongs to an earlier flow of the same addresses and
-    // ports: its sequence number is none that the server can use in this flow.
+    // ports: this flow is not open, or the server cannot use the sequence number in it.
     bool isPrecededBy(const Segment &serverPacket) const;
     // True if the caller's packet belongs to a later flow of the same addresses and ports: it
     // acknowledges a number that the server has not reached in this flow. The agent may not know
