Compare a server's packet with the probe before adopting a flow

What callers would see: after a restart of the agents, a flow that uses ports again gets no answer. Its packets go to the server that still has the earlier flow, which answers each with a bare acknowledgement (FLOW b).

Cause: an agent takes any packet of its server for the proof that the server has the probed flow. A server that kept an abandoned flow of the same ports sends such a packet too.

Change: the probe keeps what the caller acknowledged. If the server's number is more than 1 MB from it, the packet is of an earlier flow: it is dropped, and the probe goes on to the next agent.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -162,9 +162,14 @@
         TimePoint sentAt;
         std::vector<Endpoint> remaining; // agents that get the packet if the server bounces it
         bool isClosing = false; // the packet, or one probed before it, finishes the flow
+        std::uint32_t acknowledgement = 0; // of the packet
         // Kept only if there are agents remaining, since a server that resets a packet does not
         // return it.
         std::vector<std::uint8_t> packet;
+
+        // True if the server's packet belongs to an earlier flow of the probe's addresses and
+        // ports.
+        bool isOfLaterFlowThan(const Segment &serverPacket) const;
     };
 
     // Why the agent does not admit a new flow at the moment.
@@ -196,6 +201,10 @@
                        const Segment &segment, Sink &sink);
     void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
     void onBounce(const Segment &segment, TimePoint now, Sink &sink);
+    // The same for a packet that was sent to the server, which has another flow or none.
+    void continueProbe(const FlowKey &key, Sink &sink);
+    // Counts a late packet of the server.
+    void dropEarlier(const FlowKey &key, Sink &sink);
     // True if the packet shows that the server has a flow from before the agent's start.
     bool provesOwnership(const FlowKey &key, const Segment &serverPacket) const;
     // Returns true if the reset is for the caller, which it is only if the flow is open at the
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// More than the numbers of a server's packet and of the last packet of its flow's caller differ.
+constexpr std::uint32_t probedRange = 1 << 20;
+
 std::vector<Endpoint> hopsAfter(const ForwardFrame &frame)
 {
     std::vector<Endpoint> hops;
@@ -210,7 +213,8 @@
     Probe probe{ .balancer = frame.replyTo,
                  .sentAt = now,
                  .remaining = hopsAfter(frame),
-                 .isClosing = segment.has(tcpflag::fin) };
+                 .isClosing = segment.has(tcpflag::fin),
+                 .acknowledgement = segment.acknowledgement };
     if (!probe.remaining.empty() && this->probes.size() < maxKeptProbePackets)
         probe.packet.assign(segment.bytes.begin(), segment.bytes.end());
     Probe &kept = this->probes[segment.key];
@@ -230,6 +234,23 @@
                remaining, segment.bytes, sink);
 }
 
+bool Agent::Probe::isOfLaterFlowThan(const Segment &serverPacket) const
+{
+    return !serverPacket.has(tcpflag::rst) && !serverPacket.isOpeningAnswer()
+           && serverPacket.sequence - this->acknowledgement + probedRange > 2 * probedRange;
+}
+
+void Agent::continueProbe(const FlowKey &key, Sink &sink)
+{
+    const auto it = this->probes.find(key);
+    const Probe probe = std::move(it->second);
+    this->probes.erase(it);
+    if (probe.remaining.empty())
+        this->reply(Verdict::UnknownFlow, key, probe.balancer, sink);
+    else if (const auto packet = this->options.codec->parse(probe.packet))
+        this->continueProbe(probe.remaining, probe.balancer, *packet, sink);
+}
+
 void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
 {
     const ServerFlow *flow = this->flows.find(segment.key);
@@ -263,20 +284,25 @@
     }
     const FlowKey key = segment->key.reversed();
     ServerFlow *flow = this->flows.find(key);
+    const auto probe = this->probes.find(key);
+    if (flow == nullptr && probe != this->probes.end()
+        && probe->second.isOfLaterFlowThan(*segment)) {
+        this->dropEarlier(key, sink);
+        this->continueProbe(key, sink);
+        return;
+    }
     if (flow == nullptr && this->provesOwnership(key, *segment)) {
         flow = &this->flows.adopt(key, *segment, now);
         ++this->counts.adopted;
-        if (const auto it = this->probes.find(key); it != this->probes.end()) {
-            flow->balancer = it->second.balancer;
-            this->reply(Verdict::Owner, key, it->second.balancer, sink);
-            this->probes.erase(it);
+        if (probe != this->probes.end()) {
+            flow->balancer = probe->second.balancer;
+            this->reply(Verdict::Owner, key, flow->balancer, sink);
+            this->probes.erase(probe);
         }
         sink.log(Level::Info, "flow_adopted", { { "flow", toString(key) } });
     }
     if (flow != nullptr && flow->isPrecededBy(*segment)) {
-        ++this->counts.droppedEarlierFlow;
-        sink.log(Level::Info, "packet_dropped",
-                 { { "flow", toString(key) }, { "reason", "earlier_flow" } });
+        this->dropEarlier(key, sink);
         return;
     }
     // A reset that is not for the caller does not end the flow either: the caller may still choose
@@ -293,6 +319,13 @@
     sink.toCaller(segment->key.destination, segment->bytes);
 }
 
+void Agent::dropEarlier(const FlowKey &key, Sink &sink)
+{
+    ++this->counts.droppedEarlierFlow;
+    sink.log(Level::Info, "packet_dropped",
+             { { "flow", toString(key) }, { "reason", "earlier_flow" } });
+}
+
 bool Agent::provesOwnership(const FlowKey &key, const Segment &serverPacket) const
 {
     if (this->record.startedAfterAgent() || serverPacket.has(tcpflag::rst)
@@ -325,12 +358,7 @@
     if (isOpen || it == this->probes.end())
         return isOpen;
     // The server does not have the probed flow, or no longer; another server may.
-    const Probe probe = std::move(it->second);
-    this->probes.erase(it);
-    if (probe.remaining.empty())
-        this->reply(Verdict::UnknownFlow, key, probe.balancer, sink);
-    else if (const auto packet = this->options.codec->parse(probe.packet))
-        this->continueProbe(probe.remaining, probe.balancer, *packet, sink);
+    this->continueProbe(key, sink);
     return false;
 }
 
--- a/mesh/reusedports_test.cpp
+++ b/mesh/reusedports_test.cpp
@@ -186,4 +186,23 @@
     BOOST_TEST(this->world.resetsTo(caller) == 0u);
 }
 
+// After a restart of all agents, a server that had kept an abandoned flow answered a packet of the
+// later flow of its ports with a bare acknowledgement, and its agent claimed the later flow.
+BOOST_AUTO_TEST_CASE(anAbandonedFlowOfAProbedServerClaimsNoFlowOfAnotherServer)
+{
+    this->earlierAnswer();
+    this->world.agent("a1").server.acknowledgesLaterFlows = true;
+    BOOST_TEST(this->openLaterFlow("b2") == "a2");
+    BOOST_TEST(this->requestOnLaterFlow("b2"));
+    for (const char *agent : { "a1", "a2" })
+        this->world.restartAgent(agent);
+    for (const char *balancer : { "b1", "b2" })
+        this->world.restartBalancer(balancer);
+    this->world.run(2s);
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(this->requestOnLaterFlow("b1"));
+    BOOST_TEST(this->world.agent("a1").server.laterFlowPackets <= 2u);
+    BOOST_TEST(this->world.resetsTo(caller) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
