Keep a run of a server against late heartbeats after a restart

What callers would see: open flows are reset while their server is fine (FLOW). The platform says that a heartbeat may arrive after its sender has crashed and the next run has registered.

Cause, three in one place: - An agent that has restarted does not know the earlier runs. It took a late heartbeat of one for a new run, reset the flows of the present one, and did not believe the present one for 3 s. - If the late heartbeat was the first that it heard, it took the present run for newer than itself at the next one, claimed to know all of its flows, and balancers reset them as unknown. - The heartbeats of a run that had been accepted again were stale as long as they came within 3 s of each other, that is: all of them but each third one.

Change: a heartbeat of another run with an earlier start that is not the run's first one has to wait until the present run has been silent for 3 s, like one of a run that is known to be replaced. A successor whose clock was set back is accepted at once with its first heartbeat, and after the silence if that is lost. Only the first heartbeat of a run shows that it has no earlier flows; otherwise its server is asked, which is slower and as safe.

Tests, failing before and passing now: operatorLessons/ aLateHeartbeatAfterARestartOfTheAgentResetsNoFlow, aLateHeartbeatBeforeThoseOfThePresentRunLosesNoFlow; serverRecord/ aRunThatIsAcceptedAgainIsUpdated, aSuccessorThatSeemsToBeEarlierIsAcceptedAfterSilence.

--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -26,6 +26,18 @@
         this->world.run(3s);
     }
 
+    // The last heartbeat of the agent's server.
+    mesh::Heartbeat heartbeatOf(const std::string &agent)
+    {
+        const World::AgentNode &node = this->world.agent(agent);
+        return { .instance = node.server.instance,
+                 .startedAt = node.server.startedAt,
+                 .sequence = node.server.sequence,
+                 .service = ServiceName{ node.service },
+                 .address = { node.endpoint.address, 8000 },
+                 .slots = 5 };
+    }
+
     World world;
 };
 
@@ -239,6 +251,47 @@
     BOOST_TEST(node.server.openings.size() == before);
 }
 
+// A restarted agent does not know the earlier runs of its server. A late heartbeat of one of them
+// took the place of the present run, whose open flows were reset.
+BOOST_AUTO_TEST_CASE(aLateHeartbeatAfterARestartOfTheAgentResetsNoFlow)
+{
+    World::AgentNode &node = this->world.agent("a1");
+    mesh::Heartbeat late = this->heartbeatOf("a1");
+    late.sequence += 5;
+    this->world.restartServer("a1", "server-a1-again");
+    this->world.run(1300ms);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.restartAgent("a1");
+    this->world.run(100ms);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    this->world.run(1300ms);
+    const std::uint64_t run = node.agent->server().incarnation();
+    node.agent->onHeartbeat(late, this->world.now, *node.sink);
+    BOOST_TEST(node.agent->server().incarnation() == run);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+}
+
+// The late heartbeat was the first one that the restarted agent got. At the next one, of the run
+// that had been there all the time, the agent took it for new and its open flows for lost.
+BOOST_AUTO_TEST_CASE(aLateHeartbeatBeforeThoseOfThePresentRunLosesNoFlow)
+{
+    World::AgentNode &node = this->world.agent("a1");
+    mesh::Heartbeat late = this->heartbeatOf("a1");
+    late.sequence += 5;
+    this->world.restartServer("a1", "server-a1-again");
+    this->world.run(1300ms);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    this->world.restartAgent("a1");
+    node.agent->onHeartbeat(late, this->world.now, *node.sink);
+    this->world.run(100ms);
+    BOOST_TEST(node.agent->server().incarnation() != 0u);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 // A balancer is stopped while it holds the opening packets that arrived right after its start.
 BOOST_AUTO_TEST_CASE(aStoppingBalancerPlacesTheOpeningPacketsThatItHolds)
 {
--- a/mesh/serverrecord.cpp
+++ b/mesh/serverrecord.cpp
@@ -24,13 +24,8 @@
     const bool isSame = run == this->current.id;
     if (isSame && heartbeat.sequence <= this->current.sequence)
         return HeartbeatVerdict::Stale;
-    const bool isReplaced =
-            std::find(this->replaced.begin(), this->replaced.end(), run) != this->replaced.end();
-    // Heard of for the first time, for example because the agent has restarted. The first heartbeat
-    // of a run counts whatever its start time, since the clock may have been set back.
-    const bool isEarlier = !isSame && heartbeat.sequence > firstSequence && heartbeat.startedAt != 0
-                           && heartbeat.startedAt < this->startedAt;
-    if ((isReplaced || isEarlier) && now - this->current.lastHeard < replacedRunSilence)
+    if (!isSame && this->isFromEarlierRun(heartbeat, run)
+        && now - this->current.lastHeard < replacedRunSilence)
         return HeartbeatVerdict::Stale;
     if (!isSame && !isFirst) {
         this->replaced.push_back(this->current.id);
@@ -40,11 +35,13 @@
     // If this agent gets the run's first heartbeat, the run has no flows from before the agent's
     // start; otherwise an earlier agent would have received the first heartbeat.
     if (!isSame)
-        this->hasNoEarlierFlows = !isFirst || heartbeat.sequence <= firstSequence;
+        this->hasNoEarlierFlows = heartbeat.sequence <= firstSequence;
     const bool wasEnded = isSame && this->currentPhase == ServerPhase::Ended;
-    this->current = { .id = run, .sequence = heartbeat.sequence, .lastHeard = now };
+    this->current = { .id = run,
+                      .startedAt = heartbeat.startedAt,
+                      .sequence = heartbeat.sequence,
+                      .lastHeard = now };
     this->instance = heartbeat.instance;
-    this->startedAt = heartbeat.startedAt;
     this->slotCount = std::max<std::uint32_t>(1, heartbeat.slots);
     // A heartbeat states the remaining time, so the clocks of agent and server need not agree.
     this->coldUntil = now + heartbeat.coldFor;
@@ -53,6 +50,14 @@
     return isSame || isFirst ? HeartbeatVerdict::Updated : HeartbeatVerdict::NewServer;
 }
 
+bool ServerRecord::isFromEarlierRun(const Heartbeat &heartbeat, std::uint64_t run) const
+{
+    if (std::find(this->replaced.begin(), this->replaced.end(), run) != this->replaced.end())
+        return true;
+    return heartbeat.sequence > firstSequence && heartbeat.startedAt != 0
+           && heartbeat.startedAt < this->current.startedAt;
+}
+
 bool ServerRecord::onDeregister(const std::string &leaving, std::int64_t startedAt)
 {
     if (this->current.id == 0 || leaving != this->instance
--- a/mesh/serverrecord.h
+++ b/mesh/serverrecord.h
@@ -9,8 +9,8 @@
 #include "mesh/peermessage.h"
 
 // The state of an agent's backend server as its heartbeats report it. One run of a server is
-// identified by its instance id and start time. Start times are compared only for equality, since
-// clocks may jump.
+// identified by its instance id and start time. Since clocks may jump, an earlier start time alone
+// does not tell that a run is an earlier one; its heartbeat must not be a first one either.
 //
 //     switch (record.onHeartbeat(heartbeat, now)) {
 //     case HeartbeatVerdict::NewServer:
@@ -41,9 +41,9 @@
 class ServerRecord
 {
 public:
-    // A heartbeat from a replaced or earlier run is accepted only if the current run has been
-    // silent for this time, so that a delayed heartbeat does not displace the successor. Heartbeats
-    // come every 1.2 s, so the current run has then missed two.
+    // A heartbeat from an earlier run is accepted only if the current run has been silent for this
+    // time, so that a delayed heartbeat does not displace the successor. Heartbeats come every
+    // 1.2 s, so the current run has then missed two.
     static constexpr std::chrono::milliseconds replacedRunSilence{ 3000 };
 
     HeartbeatVerdict onHeartbeat(const Heartbeat &heartbeat, TimePoint now);
@@ -68,13 +68,17 @@
     struct Run
     {
         std::uint64_t id = 0; // hash of instance id and start time
+        std::int64_t startedAt = 0;
         std::uint64_t sequence = 0;
         TimePoint lastHeard{};
     };
 
+    // True if the heartbeat seems to be from a run before the current one. An agent that has
+    // started after the current run has not heard the runs before.
+    bool isFromEarlierRun(const Heartbeat &heartbeat, std::uint64_t run) const;
+
     Run current;
     std::string instance;
-    std::int64_t startedAt = 0; // that the current run has stated
     std::deque<std::uint64_t> replaced; // ids of earlier runs, newest last
     ServerPhase currentPhase = ServerPhase::Unknown;
     std::uint32_t slotCount = 1;
--- a/mesh/serverrecord_test.cpp
+++ b/mesh/serverrecord_test.cpp
@@ -84,6 +84,32 @@
                == int(HeartbeatVerdict::NewServer));
 }
 
+// The heartbeats of a run that was accepted again were stale until it had been silent for 3 s.
+BOOST_AUTO_TEST_CASE(aRunThatIsAcceptedAgainIsUpdated)
+{
+    ServerRecord record;
+    record.onHeartbeat(heartbeatOf(1, 50), start);
+    record.onHeartbeat(heartbeatOf(2, 1), start + 1s);
+    record.onHeartbeat(heartbeatOf(1, 52), start + 5s);
+    BOOST_TEST(int(record.onHeartbeat(heartbeatOf(1, 53, true), start + 6s))
+               == int(HeartbeatVerdict::Updated));
+    BOOST_TEST(int(record.phase()) == int(ServerPhase::Draining));
+}
+
+// After a restart of its agent, a successor's first heartbeat may be lost and its clock may be set
+// back; it is believed once the earlier run is silent.
+BOOST_AUTO_TEST_CASE(aSuccessorThatSeemsToBeEarlierIsAcceptedAfterSilence)
+{
+    ServerRecord record;
+    record.onHeartbeat(heartbeatOf(1000, 50), start);
+    BOOST_TEST(int(record.onHeartbeat(heartbeatOf(400, 2), start + 1s))
+               == int(HeartbeatVerdict::Stale));
+    BOOST_TEST(int(record.onHeartbeat(heartbeatOf(400, 4), start + 3s))
+               == int(HeartbeatVerdict::NewServer));
+    // It may have flows from before its first heartbeat here.
+    BOOST_TEST(!record.startedAfterAgent());
+}
+
 BOOST_AUTO_TEST_CASE(earlierFlowsAreRuledOutByTheFirstHeartbeatOnly)
 {
     ServerRecord first;
