Remember removed routes across a restart of a balancer

What callers would see: the flows of an address whose route operators have removed are dropped by a balancer, and served again after its restart. No rule breaks, since rules look at opening packets; but what was withdrawn is in use again.

Cause: the addresses without a route any more were kept apart from the targets of earlier configurations, and only the latter go to a balancer that starts.

Change: an address with earlier targets and no route was dropped; the second list is gone. If all balancers restart at once, nobody knows of the removed route, as before.

Ruled out: flows of a route that only gets another service. They have a route and stay open (flows/keepsOpenFlowsWhenARouteGetsAnotherService passes).

Test, failing before and passing now: operatorLessons/ aRemovedRouteIsNotUsedAfterARestartOfABalancer.

--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -83,20 +83,22 @@
     if (this->routes != nullptr) {
         for (const auto &[address, route] : this->routes->routes) {
             const auto next = configuration->routes.find(address);
-            if (next == configuration->routes.end())
-                this->droppedAddresses.insert(address);
             for (const WeightedService &target : route.targets) {
                 if (next == configuration->routes.end() || !next->second.hasTarget(target.service))
                     this->formerTargets[address].insert(target.service);
             }
         }
-        for (const auto &[address, route] : configuration->routes)
-            this->droppedAddresses.erase(address);
     }
     this->routes = std::move(configuration);
     return true;
 }
 
+bool FleetState::wasDropped(Endpoint address) const
+{
+    return this->formerTargets.contains(address)
+           && (this->routes == nullptr || !this->routes->routes.contains(address));
+}
+
 bool FleetState::mayServe(Endpoint address, const ServiceName &service) const
 {
     if (const auto past = this->formerTargets.find(address);
--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -102,7 +102,7 @@
     std::set<ZoneName> heldEvacuations(TimePoint now) const;
     bool isEvacuated(const ZoneName &zone, TimePoint now) const;
     // True if an earlier configuration had a route for the address and the current one has none.
-    bool wasDropped(Endpoint address) const { return this->droppedAddresses.contains(address); }
+    bool wasDropped(Endpoint address) const;
 
     // True if the service is a target of the address in the current or an earlier configuration.
     bool mayServe(Endpoint address, const ServiceName &service) const;
@@ -120,7 +120,6 @@
     std::set<ZoneName> zones;
     StorePosition zonesAsOf; // revision 0: nothing known
     std::map<ZoneName, TimePoint> heldUntil; // by zones that are not in the list
-    std::set<Endpoint> droppedAddresses;
     std::map<Endpoint, std::set<ServiceName>> formerTargets; // targets of earlier configurations
 };
 
--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const Endpoint booking{ 0xC6120001u, 443 };
+const Endpoint other{ 0xC6120002u, 443 };
 
 struct Fixture
 {
@@ -292,6 +293,22 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
 }
 
+// A balancer that had restarted served the flows of an address whose route operators had removed.
+BOOST_AUTO_TEST_CASE(aRemovedRouteIsNotUsedAfterARestartOfABalancer)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) != "");
+    this->world.publish(configurationOf({ { other, "booking" } }));
+    this->world.run(1s);
+    BOOST_TEST(!this->world.request("b2", callerOf(1), booking));
+    this->world.restartBalancer("b2");
+    this->world.run(2s);
+    BOOST_TEST(!this->world.request("b2", callerOf(1), booking));
+    // Operators add the route again.
+    this->world.publish(configurationOf({ { booking, "booking" } }));
+    this->world.run(1s);
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
+}
+
 // A balancer is stopped while it holds the opening packets that arrived right after its start.
 BOOST_AUTO_TEST_CASE(aStoppingBalancerPlacesTheOpeningPacketsThatItHolds)
 {
