Refuse only where no other copy can have been accepted

Cause: a refusal is safe for the first copy of an opening packet alone. Two ways around that: a balancer that does not know a new route yet reset later copies too; and a balancer that has just started holds the first copy for up to a second, while callers send the next one after 0.2 s and the fabric may already give it to another balancer. In the second case the agents refuse. An agent also forgot, when its server returned the packet, that an earlier one may take the flow soon.

Change: a later copy without a route is dropped. A first copy that was held for 0.2 s or more is refused by no balancer, and agents get it with the flag that another copy may succeed. Agents keep the flag for returned packets. A caller whose first reset is lost now waits for its time-out.

Ruled out: first copies that are late for another reason, for instance in the network. No node can tell them from others.

Tests, failing before and passing now: operatorLessons/ aLateCopyWithoutARouteResetsNoOpenFlow, aFirstCopyThatABalancerHeldResetsNoOpenFlow.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -115,8 +115,10 @@
     flow->openingSequence = segment.sequence;
     flow->balancer = frame.replyTo;
     flow->lastActive = now;
-    if (!flow->isAnswered)
+    if (!flow->isAnswered) {
         flow->remaining = opening.remaining;
+        flow->mayBeTakenSoon = opening.mayBeTakenSoon;
+    }
     this->coldStartLimiter.add(now);
     ++this->counts.admitted;
     this->sendToServer(segment.bytes, now, sink);
@@ -372,6 +374,7 @@
         const std::vector<std::uint8_t> packet = this->options.codec->restored(segment);
         const Opening opening{ .balancer = flow->balancer,
                                .remaining = std::move(flow->remaining),
+                               .mayBeTakenSoon = flow->mayBeTakenSoon,
                                .packet = packet };
         this->flows.erase(segment.key, now);
         this->forwardOpening(opening, segment, { "server_full", false }, sink);
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -149,6 +149,8 @@
     // 200 ms and give up opening a flow after 1.4 s, so holding packets for longer is useless.
     static constexpr std::size_t startupPacketCapacity = 512;
     static constexpr std::chrono::milliseconds startupPacketTimeout{ 1000 };
+    // Callers send the second copy of an opening packet after this time.
+    static constexpr std::chrono::milliseconds secondCopyDelay{ 200 };
     static constexpr std::chrono::milliseconds housekeepingInterval{ 250 };
     // Number of balancers that read the store; they pass the state on to the others.
     static constexpr std::size_t maxStoreReaders = 3;
@@ -198,9 +200,14 @@
     void releaseStartupPackets(TimePoint now, Sink &sink);
     // False while the balancer is new and only some of the agents have reported.
     bool canPlace(TimePoint now) const;
-    void onOpening(const Segment &segment, const Route &route, TimePoint now, Sink &sink);
+    // Both get the time at which the packet arrived.
+    void onOpening(const Segment &segment, const Route &route, TimePoint at, TimePoint now,
+                   Sink &sink);
     void onEstablished(const Segment &segment, TimePoint now, Sink &sink);
-    void onNoRoute(const Segment &segment, TimePoint now, Sink &sink);
+    void onNoRoute(const Segment &segment, TimePoint at, TimePoint now, Sink &sink);
+    // True if no other copy of the opening packet can have been accepted meanwhile.
+    static bool isOnlyCopy(const Segment &opening, TimePoint at, TimePoint now);
+    void dropOpening(const Segment &segment, const char *reason, Sink &sink);
     // Recipients of a search's messages. Silent agents are asked too, but the search does not wait
     // for their answers.
     using Chains = std::vector<std::vector<AgentIndex>>;
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -45,11 +45,11 @@
     }
     const auto route = configuration->routes.find(segment->key.destination);
     if (route == configuration->routes.end())
-        this->onNoRoute(*segment, now, sink);
+        this->onNoRoute(*segment, at, now, sink);
     else if (!segment->isOpening())
         this->onEstablished(*segment, now, sink);
     else if (this->canPlace(now))
-        this->onOpening(*segment, route->second, now, sink);
+        this->onOpening(*segment, route->second, at, now, sink);
     else
         this->hold(*segment, at, sink);
 }
@@ -89,8 +89,27 @@
     }
 }
 
-void Balancer::onNoRoute(const Segment &segment, TimePoint now, Sink &sink)
+bool Balancer::isOnlyCopy(const Segment &opening, TimePoint at, TimePoint now)
 {
+    return opening.acknowledgement == 0 && now - at < secondCopyDelay;
+}
+
+void Balancer::dropOpening(const Segment &segment, const char *reason, Sink &sink)
+{
+    ++this->counts.dropped;
+    sink.log(Level::Info, "packet_dropped",
+             { { "flow", toString(segment.key) },
+               { "copy", std::to_string(segment.acknowledgement) },
+               { "reason", reason } });
+}
+
+void Balancer::onNoRoute(const Segment &segment, TimePoint at, TimePoint now, Sink &sink)
+{
+    // Another balancer may have accepted a copy under a newer configuration.
+    if (segment.isOpening() && !isOnlyCopy(segment, at, now)) {
+        this->dropOpening(segment, "no_route", sink);
+        return;
+    }
     if (segment.isOpening()) {
         this->reset(segment, "no_route", this->counts.resetNoRoute, sink);
         return;
@@ -110,7 +129,8 @@
     this->onEstablished(segment, now, sink);
 }
 
-void Balancer::onOpening(const Segment &segment, const Route &route, TimePoint now, Sink &sink)
+void Balancer::onOpening(const Segment &segment, const Route &route, TimePoint at, TimePoint now,
+                         Sink &sink)
 {
     const std::uint64_t flowHash = hashOf(segment.key);
     const std::uint32_t copy = segment.acknowledgement;
@@ -128,15 +148,10 @@
     std::vector<AgentDirectory::Candidate> order =
             this->directory.candidates(service, this->fleet, flowHash, now);
     if (order.empty()) {
-        if (copy == 0 && now - this->startedAt >= settleTime) {
+        if (isOnlyCopy(segment, at, now) && now - this->startedAt >= settleTime)
             this->reset(segment, "no_server", this->counts.resetNoServer, sink);
-        } else {
-            ++this->counts.dropped;
-            sink.log(Level::Info, "packet_dropped",
-                     { { "flow", toString(segment.key) },
-                       { "copy", std::to_string(copy) },
-                       { "reason", "no_server" } });
-        }
+        else
+            this->dropOpening(segment, "no_server", sink);
         return;
     }
     if (entry != nullptr) {
@@ -148,7 +163,10 @@
             std::rotate(tried, tried + 1, order.end());
     }
     const AgentIndex first = order.front().agent;
-    ForwardFrame frame{ .flags = frameflag::newFlow | frameflag::replyWanted,
+    // The agents then do not refuse the flow.
+    const unsigned heldFlag = now - at < secondCopyDelay ? 0 : frameflag::transientDecline;
+    ForwardFrame frame{ .flags = std::uint8_t(frameflag::newFlow | frameflag::replyWanted
+                                              | heldFlag),
                         .service = serviceIdOf(service),
                         .configuration = this->fleet.configurationVersion(),
                         .replyTo = this->options.mesh };
--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -309,6 +309,50 @@
     BOOST_TEST(this->world.request("b2", callerOf(1), booking));
 }
 
+// A balancer that did not know the route yet refused a copy of an opening packet. The first copy
+// had opened the flow through another balancer, and the caller took its request for not run.
+BOOST_AUTO_TEST_CASE(aLateCopyWithoutARouteResetsNoOpenFlow)
+{
+    this->world.balancer("b1").hasStore = false;
+    this->world.cut("b1", "b2");
+    this->world.publish(configurationOf({ { booking, "booking" }, { other, "booking" } }));
+    this->world.run(1s);
+    BOOST_TEST(this->world.openFlow("b2", callerOf(1), other) != "");
+    BOOST_TEST(this->world.request("b2", callerOf(1), other));
+    this->world.fromCaller("b1", opening(callerOf(1), other, 1));
+    this->world.run(10ms);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(this->world.request("b2", callerOf(1), other));
+}
+
+// A new balancer held the first copy of an opening packet while the next one opened the flow
+// through another balancer. No agent took the first copy any more, and it was refused.
+BOOST_AUTO_TEST_CASE(aFirstCopyThatABalancerHeldResetsNoOpenFlow)
+{
+    this->world.agent("a1").server.isFull = true;
+    World::BalancerNode &fresh = this->world.balancer("b1");
+    fresh.hasStore = false;
+    this->world.cut("b1", "b2");
+    this->world.restartBalancer("b1");
+    this->world.fromCaller("b1", opening(callerOf(1), booking));
+    this->world.run(200ms);
+    this->world.fromCaller("b2", opening(callerOf(1), booking, 1));
+    this->world.run(10ms);
+    const std::vector<World::ToCaller> answers = this->world.packetsTo(callerOf(1));
+    BOOST_TEST_REQUIRE(answers.size() == 1u);
+    BOOST_TEST(answers.front().sender == "a2");
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
+    this->world.agent("a2").server.isDraining = true;
+    this->world.agent("a2").nextHeartbeat = this->world.now;
+    this->world.run(100ms);
+    fresh.hasStore = true;
+    this->world.heal("b1", "b2");
+    this->world.run(500ms);
+    BOOST_TEST(fresh.balancer->counters().placed == 1u);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
+}
+
 // A balancer is stopped while it holds the opening packets that arrived right after its start.
 BOOST_AUTO_TEST_CASE(aStoppingBalancerPlacesTheOpeningPacketsThatItHolds)
 {
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -49,6 +49,7 @@
     Endpoint balancer; // that forwarded the last packet; gets replies about the flow
     // Agents that may still get the opening packet if this server bounces it.
     std::vector<Endpoint> remaining;
+    bool mayBeTakenSoon = false; // the caller must not be refused if this server bounces it either
 
     // True if the segment acknowledges this server's opening answer. A caller that received the
     // answers of two servers acknowledges only one of them.
