Let a server that has deregistered finish while its agent stops

What callers would see: a reset instead of an answer, if the agent is stopped within half a second after its server has deregistered and before the server has exited (FLOW a under planned work).

Cause: a stopping agent took a server that had deregistered for exited.

Change: the agent waits, as it does without a stop, until the server refuses connections twice (a check is due at the stop, the next 0.1 s later) or 0.5 s have passed since the deregistration. Only then it resets the flows, and it does not end before; the limit of 3 s stays.

Test, failing before and passing now: operatorLessons/ aStopCutsNoAnswerOfAServerThatIsAboutToExit.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -372,7 +372,9 @@
     this->nextStopCheck = now + stopCheckInterval;
     const bool isQuiet =
             this->flows.load().inProgress() == 0 || this->serverPhase() == ServerPhase::Ended;
-    this->stopped = isQuiet || now - this->stoppingAt >= stopLimit;
+    // A server that has deregistered may still be answering. Its callers learn of its exit before
+    // the agent ends, since the agent may be stopped for good.
+    this->stopped = (isQuiet && !this->mustEndFlows) || now - this->stoppingAt >= stopLimit;
 }
 
 void Agent::stop(TimePoint now, Sink &sink)
@@ -386,9 +388,6 @@
     sink.log(Level::Info, "stop_requested",
              { { "flows", std::to_string(this->flows.openCount()) },
                { "in_progress", std::to_string(this->flows.load().inProgress()) } });
-    // The platform stops an agent permanently only after its server has terminated.
-    if (this->mustEndFlows)
-        this->resetAllFlows("server_exited", now, sink);
     this->report(now, sink);
 }
 
--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -142,6 +142,28 @@
     }
 }
 
+// An agent was stopped right after its server had deregistered. The server was still answering its
+// last requests, whose callers got a reset.
+BOOST_AUTO_TEST_CASE(aStopCutsNoAnswerOfAServerThatIsAboutToExit)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    World::AgentNode &node = this->world.agent("a1");
+    node.server.serviceTime = 50ms;
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 1ms));
+    node.agent->onDeregister(node.server.instance, node.server.startedAt, this->world.now,
+                             *node.sink);
+    node.agent->stop(this->world.now, *node.sink);
+    this->world.run(100ms);
+    BOOST_TEST(this->world.packetsTo(callerOf(1)).back().segment.payloadLength == 100u);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(!node.agent->isStopped());
+    // Once the server has exited, its callers learn of it before the agent ends.
+    node.server.isUp = false;
+    this->world.run(500ms);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 1u);
+    BOOST_TEST(node.agent->isStopped());
+}
+
 // The answer of a request that may run once at most is lost, and with it what the balancers and the
 // agents know. The caller's copies of the request bring the answer and do not run it again.
 BOOST_AUTO_TEST_CASE(aRequestWhoseAnswerWasLostRunsOnce)
