Lose several changes in the soak's last restore

Purpose: the soak shall find the faults that restores have had.

Change: the last restore, beside which there is no other fault, is from the oldest copy at hand. Before it the operator evacuates a zone, which ends before the store is away or not, and changes the route four times; the copy lacks all of that. After each restore the operator changes the route and evacuates a zone (before: one of both).

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -241,7 +241,7 @@
 {
     for (TimePoint at = from + this->randomDuration(0ms, 6000ms); at < until;
          at += this->randomDuration(5000ms, 10000ms))
-        this->actions.emplace(at, [this](TimePoint time) { this->restoreStore(time); });
+        this->actions.emplace(at, [this](TimePoint time) { this->restoreSoon(time); });
 }
 
 void Soak::inject(const char *name, Fault fault, TimePoint at)
@@ -371,20 +371,23 @@
     this->guarantees.log(at, "fault=store kind=none");
 }
 
+void Soak::restoreSoon(TimePoint at)
+{
+    if (this->hasStoreFault)
+        this->after(copyInterval, [this](TimePoint time) { this->restoreSoon(time); });
+    else
+        this->restoreStore(this->copies[this->random() % this->copies.size()], at);
+}
+
 // Nobody can tell a write that the operator makes while the store is away from one that waits for
 // its return: no call is answered, and the restore loses it, so that it is written again.
-void Soak::restoreStore(TimePoint at)
+void Soak::restoreStore(const StoreCopy &from, TimePoint at)
 {
-    if (this->hasStoreFault) {
-        this->after(copyInterval, [this](TimePoint time) { this->restoreStore(time); });
-        return;
-    }
     ++this->injected["restored"];
     this->guarantees.log(at, "event=fault kind=restored");
-    const StoreCopy &copy = this->copies[this->random() % this->copies.size()];
     const bool isSilent = this->random() % 2 == 0;
     this->beginStoreFault(isSilent ? standin::StoreFault::Silent : standin::StoreFault::Away, at);
-    this->after(this->randomDuration(1000ms, 3000ms), [this, copy](TimePoint time) {
+    this->after(this->randomDuration(1000ms, 3000ms), [this, copy = from](TimePoint time) {
         const std::uint64_t lost = this->store.copy().revision - copy.content.revision;
         this->guarantees.log(
                 time,
@@ -400,22 +403,28 @@
         this->after(this->randomDuration(0ms, 500ms),
                     [this, copy](TimePoint) { this->writeAgain(copy); });
         // Changes that follow are the ones that an earlier view could hide.
-        this->after(this->randomDuration(500ms, 3000ms), [this](TimePoint later) {
-            if (this->random() % 2 == 0)
-                this->inject("change_route", &Soak::changeRoute, later);
-            else
-                this->inject("evacuate", &Soak::evacuate, later);
-        });
+        this->changeSoon(500ms, 3000ms, "change_route", &Soak::changeRoute);
+        this->changeSoon(500ms, 3000ms, "evacuate", &Soak::evacuate);
     });
 }
 
-// Other faults, which are frequent, suspend the bounds that a restore may break.
+// Other faults, which are frequent, suspend the bounds that a restore may break. An earlier view
+// can hide a change only if more is lost than is written again, so the copy is from before several
+// changes. The evacuation ends before some restores and after others.
 void Soak::restoreBesidesNoFault()
 {
-    this->inject("change_route", &Soak::changeRoute, this->now);
     this->inject("evacuate", &Soak::evacuate, this->now);
-    this->after(this->randomDuration(1000ms, 4000ms),
-                [this](TimePoint at) { this->restoreStore(at); });
+    for (int change = 0; change < lostRouteChanges; ++change)
+        this->changeSoon(0ms, evacuationTime - 2000ms, "change_route", &Soak::changeRoute);
+    this->after(this->randomDuration(evacuationTime - 1000ms, greatestCopyAge),
+                [this](TimePoint at) { this->restoreStore(this->copies.front(), at); });
+}
+
+void Soak::changeSoon(std::chrono::milliseconds least, std::chrono::milliseconds most,
+                      const char *name, Fault change)
+{
+    this->after(this->randomDuration(least, most),
+                [this, name, change](TimePoint at) { this->inject(name, change, at); });
 }
 
 void Soak::writeAgain(const StoreCopy &copy)
@@ -492,7 +501,7 @@
         return;
     this->store.setEvacuated(zone, true);
     this->evacuatedAt[zone] = at;
-    this->after(8000ms, [this, zone](TimePoint time) {
+    this->after(evacuationTime, [this, zone](TimePoint time) {
         this->evacuatedAt.erase(zone);
         this->returnedAt[zone] = time;
         this->store.setEvacuated(zone, false);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -72,6 +72,8 @@
     static constexpr std::chrono::milliseconds openingCheckTime{ 3000 };
     static constexpr std::chrono::milliseconds stopLimit{ 6000 }; // the platform's grace period
     static constexpr double coldRequestsPerSecond = 4;
+    static constexpr std::chrono::milliseconds evacuationTime{ 8000 };
+    static constexpr int lostRouteChanges = 4;
     static constexpr std::chrono::milliseconds copyInterval{ 500 };
     static constexpr std::chrono::milliseconds greatestCopyAge{ 9000 };
     // A balancer writes its entry 8 s after its start, and within 2 s after it knows of a restore;
@@ -110,8 +112,13 @@
     void freezeNode(TimePoint at);
     void stopBalancer(TimePoint at);
     void disturbStore(TimePoint at);
-    void restoreStore(TimePoint at);
+    // Restores the store as soon as it has no other fault.
+    void restoreSoon(TimePoint at);
+    void restoreStore(const StoreCopy &from, TimePoint at);
     void restoreBesidesNoFault();
+    // The operator makes the change after a random delay between least and most.
+    void changeSoon(std::chrono::milliseconds least, std::chrono::milliseconds most,
+                    const char *name, Fault change);
     void crashServer(TimePoint at);
     void drainServer(TimePoint at);
     void changeRoute(TimePoint at);
