--- a/mesh/peermessage_test.cpp
+++ b/mesh/peermessage_test.cpp
@@ -1,6 +1,7 @@
 #include "mesh/peermessage.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -50,6 +51,21 @@
     BOOST_TEST((second.serviceTime == 31ms));
 }
 
+// Balancers of an earlier release send the store's revision of the configuration in the place of
+// the version, and no era. The two must not be compared.
+BOOST_AUTO_TEST_CASE(aRevisionOfAnEarlierReleaseIsNoVersion)
+{
+    using nlohmann::json;
+    const json noEndpoints = json::binary({});
+    std::vector<std::uint8_t> notice = { 0xC1 };
+    json::to_cbor(json{ 2, 500, 9, false, 100, 0.0, 15000, "z", noEndpoints, noEndpoints }, notice);
+    const auto decoded = decodePeerMessage(notice);
+    BOOST_REQUIRE(decoded.has_value());
+    const auto &copy = std::get<BalancerNotice>(*decoded);
+    BOOST_TEST(copy.configuration == 0u);
+    BOOST_TEST(copy.limits.connections == 100u);
+}
+
 // Fuzz test with a fixed seed: mutated messages are decoded or refused, never read past their end.
 BOOST_AUTO_TEST_CASE(mutatedMessagesAreRefusedOrDecoded)
 {
--- a/mesh/storerestore_test.cpp
+++ b/mesh/storerestore_test.cpp
@@ -274,4 +274,22 @@
     BOOST_TEST(this->openingsInZoneB() == 0u);
 }
 
+// The store is restored between two probes, the watches go silent without an error, and probes are
+// answered from before the restore.
+BOOST_AUTO_TEST_CASE(aChangeAfterARestoreWithoutAnOutageIsInForceWhileProbesAreOutdated)
+{
+    const World::StoreContent copy = this->world.copyStore();
+    this->publishRoutes(3);
+    this->world.probeAge = 4s;
+    this->world.restoreStore(copy);
+    this->world.publish(this->last);
+    this->publishRoute();
+    this->world.run(3s);
+    BOOST_TEST(this->isInForce());
+    const TimePoint start = this->world.now;
+    while (!this->isInForce() && this->world.now - start < 20s)
+        this->world.run(100ms);
+    BOOST_TEST_MESSAGE("hidden for 3 s and " << (this->world.now - start) / 1ms << " ms");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/mesh/unownedflow_test.cpp
+++ b/mesh/unownedflow_test.cpp
@@ -271,4 +271,93 @@
     BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
 }
 
+// A balancer has not heard the flow's agent for so long that it has forgotten it.
+BOOST_AUTO_TEST_CASE(keepsAFlowOfAnAgentThatABalancerHasForgotten)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.cut("b2", "a1");
+    for (int i = 0; i < 5; ++i) {
+        this->world.run(6s);
+        BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+        this->world.request("b2", callerOf(1), booking, 300ms);
+        BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    }
+}
+
+// An agent has been added that a balancer has not heard of, while another balancer has.
+BOOST_AUTO_TEST_CASE(keepsAFlowOfAnAgentThatABalancerHasNotHeardOf)
+{
+    this->world.cut("b2", "a3");
+    this->world.addAgent("a3", "zone-a", "booking");
+    this->world.agent("a1").server.isFull = true;
+    this->world.agent("a2").server.isFull = true;
+    this->world.run(1500ms);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a3");
+    this->world.request("b2", callerOf(1), booking, 300ms);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
+// A new balancer has no list of the agents, since it is cut off from its peer, and one of them.
+BOOST_AUTO_TEST_CASE(keepsAFlowWhileANewBalancerHasNoListOfAgents)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.cut("b2", "b1");
+    this->world.cut("b2", "a1");
+    this->world.restartBalancer("b2");
+    this->world.run(1s);
+    this->world.request("b2", callerOf(1), booking, 300ms);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
+// The FIN is acknowledged by a server that had an earlier flow of the same addresses and ports. The
+// caller has that acknowledgement and does not send the FIN again.
+BOOST_AUTO_TEST_CASE(aFinReachesTheOwnServerBehindOneThatAcknowledgesIt)
+{
+    Server &asked = this->addServerThatResets("a3");
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        asked.ended.insert({ .source = callerOf(port), .destination = booking });
+        BOOST_TEST(this->world.openFlow("b2", callerOf(port), booking) == "a2");
+    }
+    // Now only the server of a2 knows the flows; b1 asks a2 and a3 through a chain.
+    this->world.restartAgent("a2");
+    this->world.restartBalancer("b1");
+    this->world.run(2s);
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+        const FlowKey key{ .source = callerOf(port), .destination = booking };
+        const std::uint64_t before = this->world.agent("a2").server.flows.at(key).packets;
+        const World::ToCaller answer = this->world.packetsTo(callerOf(port)).front();
+        this->world.fromCaller("b1", { .source = callerOf(port),
+                                       .destination = booking,
+                                       .sequence = 78,
+                                       .acknowledgement = answer.segment.sequence + 1,
+                                       .flags = tcpflag::fin | tcpflag::ack });
+        this->world.run(1s);
+        BOOST_TEST(this->world.agent("a2").server.flows.at(key).packets == before + 1);
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 0u);
+    }
+}
+
+// The cache of a balancer has a flow whose server has ended since; the caller's ports are used for
+// another flow at another server.
+BOOST_AUTO_TEST_CASE(keepsAFlowThatReusesPortsOfAFlowOfAnEndedServer)
+{
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), booking) == "a1");
+    this->world.fromCaller("b1", { .source = callerOf(1),
+                                   .destination = booking,
+                                   .sequence = 78,
+                                   .flags = tcpflag::rst });
+    this->world.run(10ms);
+    this->world.fromCaller("b2", opening(callerOf(1), booking));
+    this->world.run(10ms);
+    BOOST_TEST(this->world.packetsTo(callerOf(1)).back().sender == "a2");
+    BOOST_TEST(this->world.request("b2", callerOf(1), booking));
+    World::AgentNode &node = this->world.agent("a1");
+    node.server.isUp = false;
+    node.agent->onDeregister(node.server.instance, node.server.startedAt, this->world.now,
+                             *node.sink);
+    this->world.run(1s);
+    BOOST_TEST(this->world.request("b1", callerOf(1), booking));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
