Judge openings of the soak's last phase by what was expected of them

A flow opened to the changing route, which was not in force, a millisecond before the soak told the nodes to stop. It was refused as it must be: the balancer's log has no_route by the newest configuration 1 ms before its stop_requested. The soak read the refusal after it had told the nodes to stop, when the route may be either, found that the flow had been opened with another expectation, and demanded that it open.

Change: in the last phase the route no longer changes, so what was expected of an opening stays valid. An opening that must be refused is checked for that (route_in_force) and one that must succeed for that (route_in_force instead of recovered), also when the nodes have been told to stop; before, a flow of a removed route that opened then passed. An opening of which either was expected is judged as before.

Also: how long a soak takes with a last restore.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -108,8 +108,11 @@
 void Callers::checkOpening(const Flow &flow, bool hasOpened, TimePoint now)
 {
     const std::string name = "flow=" + toString(flow.key);
-    if (flow.key.destination == this->options.changingRoute
-        && flow.expected == this->changingRouteExpectation) {
+    // The route no longer changes when openings must succeed, so that what was expected of the flow
+    // still holds, also if the nodes have been told to stop meanwhile.
+    const bool isExpectationValid = flow.expected == this->changingRouteExpectation
+                                    || (flow.mustOpen && flow.expected != Expectation::Either);
+    if (flow.key.destination == this->options.changingRoute && isExpectationValid) {
         if (flow.expected == Expectation::Unserved)
             this->guarantees.check(Guarantee::RouteInForce, !hasOpened, now, name + " served=yes");
         else if (flow.expected == Expectation::Served && flow.mustOpen)
--- a/soak/program.cpp
+++ b/soak/program.cpp
@@ -25,7 +25,7 @@
   --seed N         Seed of the faults and of the callers [default: 1].
   --network N      Second byte of the loopback addresses, 1 to 254; soaks that run at the same time
                    need different ones [default: 16].
-  --seconds N      Duration of the faults; start, recovery and stop take some 30 s more
+  --seconds N      Duration of the faults; start, recovery and stop take 20 to 45 s more
                    [default: 25].
   --balancers N    Number of balancers [default: 4].
   --servers N      Servers of each of the two services [default: 3].
