--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -199,12 +199,13 @@
     // chain or, if there is none, tells the balancer.
     void continueProbe(const std::vector<Endpoint> &remaining, Endpoint balancer,
                        const Segment &segment, Sink &sink);
-    void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
-    void onBounce(const Segment &segment, TimePoint now, Sink &sink);
-    // The same for a packet that was sent to the server, which has another flow or none.
+    // The same for the probe of the flow, whose packet the server has answered without owning the
+    // flow. The probe ends.
     void continueProbe(const FlowKey &key, Sink &sink);
-    // Counts a late packet of the server.
+    // Counts and logs a packet of the server that belongs to an earlier flow of the same ports.
     void dropEarlier(const FlowKey &key, Sink &sink);
+    void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
+    void onBounce(const Segment &segment, TimePoint now, Sink &sink);
     // True if the packet shows that the server has a flow from before the agent's start.
     bool provesOwnership(const FlowKey &key, const Segment &serverPacket) const;
     // Returns true if the reset is for the caller, which it is only if the flow is open at the
