--- a/mesh/reusedports_test.cpp
+++ b/mesh/reusedports_test.cpp
@@ -64,7 +64,7 @@
 
     std::string openLaterFlow(const std::string &balancer)
     {
-        const std::string agent = this->startLaterFlow(balancer);
+        std::string agent = this->startLaterFlow(balancer);
         this->world.fromCaller(balancer, this->next);
         this->world.run(10ms);
         return agent;
