Add a failing test for the backlog of an agent that was suspended

Cause, from the logs of the agent: it was frozen for 2.4 s while its server crashed and began anew; on waking it reads the queued opening packets before the new run's first heartbeat, all within one millisecond, and takes the server for the warm one.

The test shows it without processes: 24 flows where 11 are allowed. An agent that had no event for longer than its timers allow could wait for its server's next heartbeat.

--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -392,4 +392,33 @@
     }
 }
 
+// An agent that was suspended reads the opening packets that have queued up before the heartbeat of
+// the run that has started meanwhile, and gives the cold server as many flows as the earlier run.
+BOOST_AUTO_TEST_CASE(aSuspendedAgentKeepsTheLimitOfAServerThatWasReplaced)
+{
+    constexpr double coldFlowsPerSecond = 4;
+    this->world.publish(configurationOf({ { booking, "booking" } }, coldFlowsPerSecond));
+    this->world.run(2s);
+    World::AgentNode &node = this->world.agent("a1");
+    this->world.now += 2400ms; // without an event of the agent
+    this->world.restartServer("a1", "server-a1-again");
+    node.server.coldFor = 4s;
+    const Endpoint balancer = this->world.balancer("b1").endpoint;
+    for (std::uint16_t port = 1; port <= 24; ++port) {
+        ForwardFrame frame{ .flags = frameflag::newFlow | frameflag::replyWanted,
+                            .service = serviceIdOf(ServiceName{ "booking" }),
+                            .replyTo = balancer,
+                            .hopCount = 1 };
+        frame.hops[0].agent = node.endpoint;
+        FrameBuffer buffer;
+        const auto header = encodeForward(frame, buffer);
+        const Bytes packet = encodeSegment(opening(callerOf(port), booking));
+        Bytes datagram(header.begin(), header.end());
+        datagram.insert(datagram.end(), packet.begin(), packet.end());
+        node.agent->onDatagram(datagram, balancer, this->world.now, *node.sink);
+    }
+    // The platform allows half as many more than the server states, and five.
+    BOOST_TEST(double(node.server.openings.size()) <= 1.5 * coldFlowsPerSecond + 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
