--- a/review/world.hh
+++ b/review/world.hh
@@ -266,17 +266,20 @@
            + "\r\n\r\n" + body;
 }
 
-// Connects without waiting longer than a second; -1 if that fails.
-inline int connectTo(Address to)
+// Connects from an address without waiting longer than a second; -1 if that fails.
+inline int connectTo(Address to, std::uint32_t from)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const sockaddr_in local = toSockaddr({ from, 0 });
     const sockaddr_in address = toSockaddr(to);
-    ::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address);
     pollfd waiting{ fd, POLLOUT, 0 };
     int error = 0;
     socklen_t size = sizeof error;
-    if (::poll(&waiting, 1, 1000) != 1 || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0
-        || error != 0) {
+    if (::bind(fd, reinterpret_cast<const sockaddr *>(&local), sizeof local) != 0
+        || (::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
+            && errno != EINPROGRESS)
+        || ::poll(&waiting, 1, 1000) != 1
+        || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
         ::close(fd);
         return -1;
     }
@@ -284,11 +287,11 @@
     return fd;
 }
 
-// Status of the response, 0 if none came within a second.
+// Status of the response, 0 if none came within a second. The call comes from the machine itself.
 inline int callHttp(Address to, const std::string &method, const std::string &target,
                     const std::string &body)
 {
-    const int fd = connectTo(to);
+    const int fd = connectTo(to, to.ip);
     if (fd < 0)
         return 0;
     sendAll(fd, request(method, target, to, body));
@@ -607,6 +610,14 @@
     Client(World &owner, ClientOptions clientOptions);
     void step();
     const ClientOptions &about() const { return this->options; }
+    // Opens long flows from now on, from the ports that were used first.
+    void reusePorts(std::size_t longFlows, Milliseconds pause)
+    {
+        this->options.freshEvery = 0;
+        this->options.longFlows = longFlows;
+        this->options.pause = pause;
+        this->nextPort = firstPort;
+    }
     std::vector<std::shared_ptr<ClientFlow>> flows;
     std::vector<std::shared_ptr<Request>> requests;
     bool isActive = true;
@@ -622,7 +633,8 @@
     World &world;
     ClientOptions options;
     int udp = -1;
-    std::uint16_t nextPort = 1024;
+    static constexpr std::uint16_t firstPort = 1024;
+    std::uint16_t nextPort = firstPort;
     Milliseconds nextFresh = 0;
 };
 
@@ -1114,6 +1126,10 @@
             this->world.note("UNASKED SYN+ACK at " + this->options.name);
             return;
         }
+        if (found != this->run->flows.end() && found->second.isEnded) {
+            this->run->flows.erase(found); // a later flow from the same port
+            found = this->run->flows.end();
+        }
         if (found == this->run->flows.end()) {
             BackendRun::Flow flow;
             flow.isn = std::uint32_t(this->world.random());
