Carry a route's priority, latency target and timeout to the agents

Cause: an agent decides which packet its server gets next, but knows no route: priority and latency target ended in the balancers, and the timeout was not even decoded. Decisions under load need all three beside the server.

Ruled out: routes in notices (240 to 1,400 idle routes a service), and a copy of the configuration at each agent (260 KB in 64 MB).

Change: RequestTerms in each forward frame, five bytes, one of them reserved before; Route holds the same type. Frames have version 3; nodes of the earlier release ignore them, as they did others. Nothing decides by it yet.

--- a/core/frame.cpp
+++ b/core/frame.cpp
@@ -35,12 +35,14 @@
     big_uint8_buf_t flags;
     big_uint8_buf_t hopIndex;
     big_uint8_buf_t hopCount;
-    big_uint8_buf_t reserved;
+    big_uint8_buf_t priority;
     big_uint16_buf_t bucket;
     big_uint32_buf_t service;
     big_uint32_buf_t digest;
     big_uint64_buf_t configuration;
-    big_uint16_buf_t maxQueueWait; // milliseconds
+    big_uint16_buf_t maxQueueWait; // milliseconds, as all durations
+    big_uint16_buf_t targetLatency;
+    big_uint16_buf_t timeout;
     EndpointField replyTo;
 };
 
@@ -86,6 +88,12 @@
     preamble.kind = std::uint8_t(kind);
 }
 
+// Longer durations are sent as the longest that the field can hold, about a minute.
+std::uint16_t toField(std::chrono::milliseconds duration)
+{
+    return std::uint16_t(std::clamp<std::int64_t>(duration.count(), 0, UINT16_MAX));
+}
+
 template <typename Header>
 bool readHeader(std::span<const std::uint8_t> datagram, FrameKind kind, Header &header)
 {
@@ -121,13 +129,14 @@
     header.flags = frame.flags;
     header.hopIndex = frame.hopIndex;
     header.hopCount = frame.hopCount;
-    header.reserved = 0;
+    header.priority = frame.terms.priority;
     header.bucket = frame.bucket;
     header.service = std::uint32_t(frame.service);
     header.digest = frame.digest;
     header.configuration = frame.configuration;
-    header.maxQueueWait =
-            std::uint16_t(std::clamp<std::int64_t>(frame.maxQueueWait.count(), 0, UINT16_MAX));
+    header.maxQueueWait = toField(frame.maxQueueWait);
+    header.targetLatency = toField(frame.terms.targetLatency);
+    header.timeout = toField(frame.terms.timeout);
     write(header.replyTo, frame.replyTo);
     writeHeader(header, buffer);
     std::size_t size = sizeof header;
@@ -180,6 +189,9 @@
     frame.digest = header.digest.value();
     frame.configuration = header.configuration.value();
     frame.maxQueueWait = std::chrono::milliseconds(header.maxQueueWait.value());
+    frame.terms = { .priority = header.priority.value(),
+                    .targetLatency = std::chrono::milliseconds(header.targetLatency.value()),
+                    .timeout = std::chrono::milliseconds(header.timeout.value()) };
     frame.replyTo = read(header.replyTo);
     const std::size_t size = sizeof header + std::size_t(frame.hopCount) * sizeof(HopField);
     if (frame.hopCount == 0 || frame.hopCount > maxHops || frame.hopIndex >= frame.hopCount
--- a/core/frame.h
+++ b/core/frame.h
@@ -21,7 +21,7 @@
 
 namespace cactusdeck {
 
-inline constexpr std::uint8_t frameVersion = 2;
+inline constexpr std::uint8_t frameVersion = 3;
 inline constexpr std::size_t maxHops = 8;
 
 enum class FrameKind : std::uint8_t { Forward = 1, Reply = 2, Attach = 3 };
@@ -51,6 +51,17 @@
 inline constexpr std::uint8_t transientDecline = 0x20;
 } // namespace frameflag
 
+// What a flow's route states of its requests. The agent decides by it which request its server gets
+// next. Zero durations: not stated.
+struct RequestTerms
+{
+    std::uint8_t priority = 0; // 0 is the highest
+    std::chrono::milliseconds targetLatency{ 0 };
+    std::chrono::milliseconds timeout{ 0 }; // after which the caller gives up
+
+    bool operator==(const RequestTerms &) const = default;
+};
+
 struct ForwardFrame
 {
     std::uint8_t flags = 0;
@@ -61,6 +72,7 @@
     // An agent passes a new flow on to the next hop if the flow's requests would wait longer than
     // this in the queue of its server.
     std::chrono::milliseconds maxQueueWait{ 0 };
+    RequestTerms terms; // of the flow's route
     Endpoint replyTo; // data endpoint of the balancer
     std::uint8_t hopIndex = 0; // the hop that receives this frame
     std::uint8_t hopCount = 0;
--- a/core/packet_test.cpp
+++ b/core/packet_test.cpp
@@ -20,6 +20,9 @@
                         .bucket = 9,
                         .digest = 5,
                         .configuration = 12,
+                        .terms = { .priority = 2,
+                                   .targetLatency = std::chrono::milliseconds(250),
+                                   .timeout = std::chrono::milliseconds(1500) },
                         .replyTo = { 0x7F000001, 7100 },
                         .hopIndex = 1,
                         .hopCount = 2 };
@@ -86,6 +89,10 @@
     BOOST_TEST(frame->hopCount == 2);
     BOOST_TEST(frame->hops[1].incarnation == 4u);
     BOOST_TEST(frame->configuration == 12u);
+    BOOST_TEST((frame->terms
+                == RequestTerms{ .priority = 2,
+                                 .targetLatency = std::chrono::milliseconds(250),
+                                 .timeout = std::chrono::milliseconds(1500) }));
     BOOST_TEST(parsePacket(frame->packet).has_value());
 }
 
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -184,6 +184,7 @@
         Endpoint balancer;
         std::vector<Endpoint> remaining; // agents that may still take it
         std::chrono::milliseconds maxWait{ 0 }; // expected wait above which the next agent gets it
+        RequestTerms terms; // of the flow's route
         bool mayBeTakenSoon = false; // an agent declined for a transient reason
         std::span<const std::uint8_t> packet;
     };
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -89,6 +89,7 @@
     const Opening opening{ .balancer = frame.replyTo,
                            .remaining = hopsAfter(frame),
                            .maxWait = frame.maxQueueWait,
+                           .terms = frame.terms,
                            .mayBeTakenSoon = frame.has(frameflag::transientDecline),
                            .packet = frame.packet };
     if (frame.service != this->service) {
@@ -114,6 +115,7 @@
     }
     flow->openingSequence = segment.sequence;
     flow->balancer = frame.replyTo;
+    flow->terms = frame.terms;
     flow->lastActive = now;
     if (!flow->isAnswered) {
         flow->remaining = opening.remaining;
@@ -153,6 +155,7 @@
     sendToHops({ .flags = std::uint8_t(flags),
                  .service = this->service,
                  .maxQueueWait = opening.maxWait,
+                 .terms = opening.terms,
                  .replyTo = opening.balancer },
                remaining, opening.packet, sink);
 }
@@ -194,6 +197,7 @@
         this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
     }
     flow->balancer = frame.replyTo;
+    flow->terms = frame.terms;
     this->flows.onCaller(*flow, segment, now);
     this->sendToServer(segment.bytes, now, sink);
 }
@@ -374,6 +378,7 @@
         const std::vector<std::uint8_t> packet = this->options.codec->restored(segment);
         const Opening opening{ .balancer = flow->balancer,
                                .remaining = std::move(flow->remaining),
+                               .terms = flow->terms,
                                .mayBeTakenSoon = flow->mayBeTakenSoon,
                                .packet = packet };
         this->flows.erase(segment.key, now);
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -169,6 +169,7 @@
                                               | heldFlag),
                         .service = serviceIdOf(service),
                         .configuration = this->fleet.configurationVersion(),
+                        .terms = route.terms,
                         .replyTo = this->options.mesh };
     std::vector<Endpoint> hops;
     for (std::size_t i = 0; i < std::min(order.size(), placementHops); ++i)
@@ -252,6 +253,7 @@
     sendToHops({ .flags = flags,
                  .service = serviceIdOf(first.report.service),
                  .configuration = this->fleet.configurationVersion(),
+                 .terms = this->fleet.termsOf(segment.key.destination),
                  .replyTo = this->options.mesh },
                std::span(hops).first(agents.size()), segment.bytes, sink);
 }
--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -21,7 +21,8 @@
         json targets = json::array();
         for (const WeightedService &target : route.targets)
             targets.push_back({ target.service, target.weight });
-        routes.push_back({ address, targets, route.targetLatency.count(), route.priority });
+        routes.push_back({ address, targets, route.terms.targetLatency.count(),
+                           route.terms.priority, route.terms.timeout.count() });
     }
     json services = json::array();
     for (const auto &[name, limits] : configuration.services)
@@ -40,8 +41,11 @@
         Route route;
         for (const json &target : entry.at(1))
             route.targets.push_back({ target.at(0), target.at(1) });
-        route.targetLatency = std::chrono::milliseconds(entry.at(2).get<std::int64_t>());
-        entry.at(3).get_to(route.priority);
+        route.terms.targetLatency = std::chrono::milliseconds(entry.at(2).get<std::int64_t>());
+        entry.at(3).get_to(route.terms.priority);
+        // Nodes of an earlier release do not state the timeout.
+        if (entry.size() > 4)
+            route.terms.timeout = std::chrono::milliseconds(entry.at(4).get<std::int64_t>());
         if (!route.targets.empty())
             result->routes.emplace(entry.at(0).get<Endpoint>(), std::move(route));
     }
@@ -99,6 +103,14 @@
            && (this->routes == nullptr || !this->routes->routes.contains(address));
 }
 
+RequestTerms FleetState::termsOf(Endpoint address) const
+{
+    if (this->routes == nullptr)
+        return {};
+    const auto route = this->routes->routes.find(address);
+    return route == this->routes->routes.end() ? RequestTerms{} : route->second.terms;
+}
+
 bool FleetState::mayServe(Endpoint address, const ServiceName &service) const
 {
     if (const auto past = this->formerTargets.find(address);
--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/frame.h"
 #include "core/types.h"
 
 // The state that operators set: routes, service limits, and evacuated failure domains. It is
@@ -54,8 +55,7 @@
 struct Route
 {
     std::vector<WeightedService> targets; // never empty
-    std::chrono::milliseconds targetLatency{ 0 };
-    std::uint32_t priority = 0; // 0 is the highest
+    RequestTerms terms;
 
     // Chooses a target by weight. All nodes choose the same service for the same flow hash.
     const ServiceName &serviceFor(std::uint64_t flowHash) const;
@@ -104,6 +104,9 @@
     // True if an earlier configuration had a route for the address and the current one has none.
     bool wasDropped(Endpoint address) const;
 
+    // Not stated if the current configuration has no route for the address.
+    RequestTerms termsOf(Endpoint address) const;
+
     // True if the service is a target of the address in the current or an earlier configuration.
     bool mayServe(Endpoint address, const ServiceName &service) const;
 
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/flowtable.h"
+#include "core/frame.h"
 #include "mesh/latencyhistogram.h"
 #include "mesh/segment.h"
 #include "mesh/serverload.h"
@@ -43,6 +44,7 @@
     // packet of the server. A reset to the caller uses it as its sequence number.
     std::uint32_t callerAcknowledgement = 0;
     std::uint32_t inProgressBefore = 0; // requests in progress at the server when this one arrived
+    RequestTerms terms; // of the flow's route, as in the last frame
     TimePoint openedAt;
     TimePoint requestedAt;
     TimePoint lastActive;
