Add a setting for the scheduling of requests

Cause: parts that decide under shortage must take effect only where a deployment calls for them, and must be switched alike at balancers and agents.

Ruled out: a switch per service in the configuration, which belongs to the operators and has no such field.

Change: requestSchedulingMaxSlots in both roles' settings: servers that state at most this many slots are scheduled request by request. 0 by default, which changes nothing. Checked by the schema like the other settings.

Measured: nothing yet; no decision reads it.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -44,6 +44,8 @@
     Endpoint server; // on which the backend server receives packets
     std::vector<Endpoint> seeds; // mesh endpoints of balancers
     const SegmentCodec *codec = nullptr;
+    // A server with at most this many slots is scheduled request by request; 0: none.
+    std::uint32_t requestSchedulingMaxSlots = 0;
 };
 
 // Totals since the start of the agent, in packets unless stated otherwise.
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -43,6 +43,9 @@
     const SegmentCodec *codec = nullptr;
     StateReader::ConfigurationDecoder decodeConfiguration;
     Duration costPerKilobyte{}; // of data sent to another failure domain
+    // Flows are placed by the cost of their requests on servers with at most this many slots; 0:
+    // none.
+    std::uint32_t requestSchedulingMaxSlots = 0;
     std::size_t flowCacheEntries = 1 << 14; // 16 bytes each
     std::uint64_t seed = 0;
 };
--- a/meshd/agentdaemon.cpp
+++ b/meshd/agentdaemon.cpp
@@ -35,7 +35,8 @@
                   .mesh = settings.mesh,
                   .server = settings.server,
                   .seeds = settings.seeds,
-                  .codec = &platform::segmentCodec })
+                  .codec = &platform::segmentCodec,
+                  .requestSchedulingMaxSlots = settings.requestSchedulingMaxSlots })
     { }
 
     Result<void> run()
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -42,6 +42,7 @@
                      .codec = &platform::segmentCodec,
                      .decodeConfiguration = platform::decodeConfiguration,
                      .costPerKilobyte = settings.costPerKilobyte,
+                     .requestSchedulingMaxSlots = settings.requestSchedulingMaxSlots,
                      .seed = std::random_device()() })
     { }
 
--- a/meshd/settings.cpp
+++ b/meshd/settings.cpp
@@ -29,6 +29,7 @@
       "description": "a list of balancer endpoints, of which only the addresses are used",
       "items": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$", "description": "an IPv4 endpoint such as 127.0.0.1:7102" }
     },
+    "requestSchedulingMaxSlots": { "type": "integer", "minimum": 0, "maximum": 64, "description": "a number of slots from 0 to 64" },
     "logLevel": { "enum": ["debug", "info", "warning", "error"], "description": "debug, info, warning or error" })json";
 
 constexpr std::string_view balancerRequired =
@@ -134,6 +135,8 @@
                        .store = reader.endpoint("store"),
                        .costPerKilobyte = std::chrono::microseconds(
                                document.value("costPerKilobyteMicroseconds", std::int64_t(0))),
+                       .requestSchedulingMaxSlots =
+                               document.value("requestSchedulingMaxSlots", std::uint32_t(0)),
                        .service = ServiceName{ document.value("service", "") },
                        .server = reader.endpoint("server"),
                        .outbound = reader.endpoint("outbound") };
--- a/meshd/settings.h
+++ b/meshd/settings.h
@@ -38,6 +38,9 @@
     std::vector<Endpoint> seeds; // mesh endpoints of balancers
     std::chrono::microseconds costPerKilobyte{ 0 }; // of data sent to another failure domain
     Level logLevel = Level::Info;
+    // Servers that process at most this many requests at a time are scheduled request by request;
+    // 0: none.
+    std::uint32_t requestSchedulingMaxSlots = 0;
 
     // Agents only.
     ServiceName service;
