Place flows by the cost of their requests where servers have few slots

Cause: balancers choose the best server by reports that all of them have.

Ruled out: fresher reports alone (above 7 KB/s a daemon at the interval that would help, and the herd is faster still), and agents passing flows on: the first 17 s have 8,393 lines of flows passed on as busy beside 8,567 of flows placed (both limited to 40 a second and node), each pass another datagram and line.

Change: agents measure service times by route without queueing and report them; balancers compare three servers of their domain and two others by expected completion.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -233,6 +233,12 @@
     this->reportSoon(now);
 }
 
+bool Agent::isScheduling() const
+{
+    return this->record.incarnation() != 0
+           && this->record.slots() <= this->options.requestSchedulingMaxSlots;
+}
+
 ServerPhase Agent::serverPhase() const
 {
     return this->watch.isGone() ? ServerPhase::Ended : this->record.phase();
@@ -332,6 +338,7 @@
         .interval = interval,
         .knownBalancers = std::uint32_t(this->balancers.size()),
         .holdings = this->flows.holdings(),
+        .routes = this->isScheduling() ? this->flows.costs().loads(now) : std::vector<RouteLoad>(),
         .knowsAllFlows = this->knowsAllFlows(),
     };
     const std::vector<std::uint8_t> bytes = encode(report);
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -243,6 +243,8 @@
     bool isAlone(TimePoint now) const;
     bool hasFlowCountChanged() const;
     bool isOutOfService(TimePoint now) const;
+    // True if the server has so few slots that its requests are scheduled one by one.
+    bool isScheduling() const;
     bool hasServerExited(TimePoint now) const;
     // The phase that the server reports, or Ended if it no longer runs without having deregistered.
     ServerPhase serverPhase() const;
--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -7,6 +7,23 @@
 
 namespace cactusdeck::mesh {
 
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Pseudo-random, and different for each flow and agent.
+std::uint64_t mix(std::uint64_t flow, AgentIndex agent)
+{
+    return (flow ^ (agent * 0x9E3779B97F4A7C15ull)) * 0xD6E8FEB86659FD93ull;
+}
+
+bool isBefore(const AgentDirectory::Candidate &a, const AgentDirectory::Candidate &b)
+{
+    return a.isSilent != b.isSilent ? b.isSilent : a.cost < b.cost;
+}
+
+} // namespace
+
 std::optional<AgentIndex> AgentDirectory::find(Endpoint endpoint) const
 {
     const auto it = this->indices.find(endpoint);
@@ -56,7 +73,10 @@
     agent.isEnded = report.phase == ServerPhase::Ended;
     agent.heard = now;
     agent.placed = 0;
+    agent.placedWork = {};
+    agent.reportedAt = now;
     agent.unanswered = 0;
+    ++this->reports;
     return isChanged;
 }
 
@@ -68,10 +88,11 @@
     }
 }
 
-void AgentDirectory::onPlaced(AgentIndex index, TimePoint now)
+void AgentDirectory::onPlaced(AgentIndex index, TimePoint now, Duration work)
 {
     Agent &agent = this->agents[index];
     agent.placed += 1;
+    agent.placedWork += work;
     if (agent.unanswered++ == 0)
         agent.unansweredSince = now;
 }
@@ -177,35 +198,131 @@
                           .costPerKilobyte = this->options.costPerKilobyte });
 }
 
+const AgentDirectory::KnownCosts &AgentDirectory::costsOf(const ServiceName &service, TimePoint now)
+{
+    KnownCosts &known = this->knownCosts[service];
+    if (known.reports == this->reports
+        || (known.reports != 0 && now - known.computedAt < costsLifetime))
+        return known;
+    known = { .means = this->meansOf(service), .computedAt = now, .reports = this->reports };
+    bool haveFewSlots = true;
+    for (const Agent &agent : this->agents) {
+        if (!agent.isPresent || agent.report.service != service)
+            continue;
+        haveFewSlots &= agent.report.slots <= this->options.requestSchedulingMaxSlots;
+        known.costs.add(agent.report.routes);
+    }
+    known.costs.finish();
+    known.isScheduled = haveFewSlots && this->options.requestSchedulingMaxSlots > 0;
+    return known;
+}
+
+Duration AgentDirectory::expectedCompletion(const Agent &agent, const ServiceCosts::Route &route,
+                                            const KnownCosts &known, TimePoint now) const
+{
+    const AgentReport &report = agent.report;
+    double slowness = known.costs.slownessOf(report.routes);
+    if (report.isCold)
+        slowness = std::max(slowness, coldSlowness);
+    return expectedTime({ .slots = report.slots,
+                          .load = known.costs.loadOf(report.routes),
+                          .requestsInProgress = report.requestsInProgress,
+                          .placedWork = agent.placedWork,
+                          .sinceReport = now - agent.reportedAt,
+                          .meanWork = known.costs.isKnown() ? known.costs.meanWork()
+                                                            : Duration(assumedServiceTime),
+                          .work = route.work,
+                          .flowLoad = route.requestsPerFlow * Seconds(route.work).count(),
+                          .slowness = slowness,
+                          .transfer = report.zone == this->options.zone
+                                              ? Duration::zero()
+                                              : transferCost(this->options.costPerKilobyte,
+                                                             known.means.responseBytes) });
+}
+
+std::vector<AgentDirectory::Candidate>
+AgentDirectory::eligible(const ServiceName &service, const FleetState &state, TimePoint now) const
+{
+    std::vector<Candidate> result;
+    result.reserve(this->agents.size());
+    for (std::size_t i = 0; i < this->agents.size(); ++i) {
+        const Agent &agent = this->agents[i];
+        if (agent.isPresent && agent.report.service == service
+            && agent.report.phase == ServerPhase::Ready
+            && !state.isEvacuated(agent.report.zone, now))
+            result.push_back(
+                    { .agent = AgentIndex(i), .isSilent = !this->isResponding(agent, now) });
+    }
+    return result;
+}
+
 std::vector<AgentDirectory::Candidate> AgentDirectory::candidates(const ServiceName &service,
                                                                   const FleetState &state,
                                                                   std::uint64_t tieBreak,
                                                                   TimePoint now) const
 {
     const ServiceMeans means = this->meansOf(service);
-    std::vector<Candidate> result;
-    result.reserve(this->agents.size());
-    for (std::size_t i = 0; i < this->agents.size(); ++i) {
-        const Agent &agent = this->agents[i];
-        if (!agent.isPresent || agent.report.service != service
-            || agent.report.phase != ServerPhase::Ready
-            || state.isEvacuated(agent.report.zone, now))
-            continue;
+    std::vector<Candidate> result = this->eligible(service, state, now);
+    for (Candidate &candidate : result) {
         // Pseudo-random share that depends on flow and agent, so that equal agents get equal
         // numbers of flows.
-        const std::uint64_t mixed =
-                (tieBreak ^ (i * 0x9E3779B97F4A7C15ull)) * 0xD6E8FEB86659FD93ull;
+        const std::uint64_t mixed = mix(tieBreak, candidate.agent);
         const double jitter = 1 + tieJitter * double(mixed >> 40) / double(1 << 24);
-        const auto cost = std::chrono::duration_cast<Duration>(
-                std::chrono::duration<double>(this->costOf(agent, means)) * jitter);
-        result.push_back({ .agent = AgentIndex(i),
-                           .cost = cost,
-                           .isSilent = !this->isResponding(agent, now) });
+        candidate.cost = std::chrono::duration_cast<Duration>(
+                Seconds(this->costOf(this->agents[candidate.agent], means)) * jitter);
     }
-    std::sort(result.begin(), result.end(), [](const Candidate &a, const Candidate &b) {
-        return a.isSilent != b.isSilent ? b.isSilent : a.cost < b.cost;
-    });
+    std::sort(result.begin(), result.end(), isBefore);
     return result;
 }
 
+std::size_t AgentDirectory::sample(std::vector<Candidate> &candidates, std::uint64_t seed) const
+{
+    std::vector<Candidate> home;
+    std::vector<Candidate> rest;
+    std::sort(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
+        if (a.isSilent != b.isSilent)
+            return b.isSilent;
+        return mix(seed, a.agent) < mix(seed, b.agent);
+    });
+    std::size_t remote = 0;
+    for (const Candidate &candidate : candidates) {
+        const bool isHome = this->agents[candidate.agent].report.zone == this->options.zone;
+        const bool isChosen =
+                !candidate.isSilent
+                && (isHome ? home.size() - remote < homeChoices : remote < remoteChoices);
+        remote += isChosen && !isHome ? 1 : 0;
+        (isChosen ? home : rest).push_back(candidate);
+    }
+    const std::size_t chosen = home.size();
+    candidates = std::move(home);
+    candidates.insert(candidates.end(), rest.begin(), rest.end());
+    return chosen;
+}
+
+AgentDirectory::Choice AgentDirectory::choose(const ServiceName &service, Endpoint route,
+                                              const FleetState &state, std::uint64_t tieBreak,
+                                              TimePoint now)
+{
+    const KnownCosts &known = this->costsOf(service, now);
+    Choice choice;
+    if (!known.isScheduled) {
+        choice.order = this->candidates(service, state, tieBreak, now);
+        return choice;
+    }
+    choice.order = this->eligible(service, state, now);
+    const std::size_t compared = this->sample(choice.order, tieBreak);
+    ServiceCosts::Route cost = known.costs.routeOf(route);
+    if (cost.work == Duration::zero())
+        cost = { .work = assumedServiceTime, .requestsPerFlow = assumedRequestsPerFlow };
+    const auto end = choice.order.begin() + std::ptrdiff_t(compared);
+    for (auto it = choice.order.begin(); it != end; ++it)
+        it->cost = this->expectedCompletion(this->agents[it->agent], cost, known, now);
+    std::sort(choice.order.begin(), end, isBefore);
+    choice.work = cost.work;
+    // The agents know more than the reports, but a flow that is passed on among equally loaded
+    // servers only loses time.
+    choice.tolerance = cost.work;
+    return choice;
+}
+
 } // namespace cactusdeck::mesh
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -35,6 +35,8 @@
     {
         ZoneName zone; // of the balancer
         Duration costPerKilobyte{}; // between failure domains
+        // Servers with at most this many slots are chosen by the costs of requests; 0: none.
+        std::uint32_t requestSchedulingMaxSlots = 0;
     };
 
     struct Agent
@@ -42,6 +44,7 @@
         Endpoint endpoint;
         AgentReport report;
         TimePoint heard;
+        TimePoint reportedAt; // when the last report arrived
         // Incremented when the flows placed so far can no longer exist: another run of the server
         // has begun, or the server is back after its end.
         std::uint8_t generation = 0;
@@ -51,6 +54,7 @@
         std::uint8_t lastLostGeneration = 0;
         bool hasLostGeneration = false;
         double placed = 0; // flows placed here since the agent's last report
+        Duration placedWork{}; // of the first requests of these flows
         std::uint32_t unanswered = 0; // opening packets sent since the agent was last heard
         TimePoint unansweredSince;
 
@@ -69,13 +73,14 @@
     void addFromPeer(Endpoint agent, TimePoint now);
     // Records any other message of the agent.
     void onHeard(Endpoint from, TimePoint now);
-    void onPlaced(AgentIndex agent, TimePoint now);
+    // work: what the flow's first request is expected to take at the agent's server.
+    void onPlaced(AgentIndex agent, TimePoint now, Duration work = {});
     void forgetSilent(TimePoint now);
 
     struct Candidate
     {
         AgentIndex agent = 0;
-        Duration cost{}; // expected, see expectedCost
+        Duration cost{}; // expected, see expectedCost and expectedCompletion
         bool isSilent = false;
     };
     // The agents that may take a new flow of the service, cheapest first, with silent agents last.
@@ -83,6 +88,20 @@
     // Different tieBreak values spread flows over agents of equal cost.
     std::vector<Candidate> candidates(const ServiceName &service, const FleetState &state,
                                       std::uint64_t tieBreak, TimePoint now) const;
+
+    struct Choice
+    {
+        std::vector<Candidate> order; // as candidates(), but see choose()
+        // How much longer than at the next agent a request may wait before the flow is passed on.
+        Duration tolerance{};
+        Duration work{}; // that the flow's first request is expected to take
+    };
+    // As candidates(), but servers with few slots are chosen by what the route's requests cost and
+    // what each server still has to do. All balancers know the same reports, so each compares only
+    // some of the servers, at random: otherwise all of them would give their flows to the one that
+    // was best when it last reported. The servers compared come first, cheapest first.
+    Choice choose(const ServiceName &service, Endpoint route, const FleetState &state,
+                  std::uint64_t tieBreak, TimePoint now);
     // All agents that may own flows.
     std::vector<AgentIndex> possibleOwners() const;
     OwnerState ownerState(AgentIndex agent, std::uint8_t generation) const;
@@ -113,6 +132,14 @@
     // faster is probably failing requests: in the known deployments, the speeds of servers differ
     // by a factor of 2.4 at most.
     static constexpr double minServiceTimeShare = 0.5;
+    // Servers compared for a flow where requests are scheduled: of the own failure domain, and of
+    // the others.
+    static constexpr std::size_t homeChoices = 3;
+    static constexpr std::size_t remoteChoices = 2;
+    // How much slower a cold server counts until enough of its requests are measured.
+    static constexpr double coldSlowness = 1.5;
+    // Costs are computed anew after this time if reports have arrived.
+    static constexpr std::chrono::milliseconds costsLifetime{ 20 };
     // Costs are increased by a pseudo-random share up to this one, so that flows spread over agents
     // whose costs differ by less.
     static constexpr double tieJitter = 0.02;
@@ -125,15 +152,38 @@
         double responseBytes = 0;
     };
 
+    // What is known of the costs of a service's requests.
+    struct KnownCosts
+    {
+        ServiceCosts costs;
+        ServiceMeans means;
+        bool isScheduled = false; // all servers have few slots and state their routes
+        TimePoint computedAt{};
+        std::uint64_t reports = 0; // received until then
+    };
+
     static Duration silenceLimit(const Agent &agent);
     // Returns false if there is no index left for another endpoint.
     bool insert(Endpoint endpoint);
     ServiceMeans meansOf(const ServiceName &service) const;
+    const KnownCosts &costsOf(const ServiceName &service, TimePoint now);
     Duration costOf(const Agent &agent, const ServiceMeans &means) const;
+    // The time that a request of the route is expected to take at the agent's server, with the cost
+    // of sending the response across failure domains.
+    Duration expectedCompletion(const Agent &agent, const ServiceCosts::Route &route,
+                                const KnownCosts &known, TimePoint now) const;
+    // The agents that may take new flows of the service, in no particular order.
+    std::vector<Candidate> eligible(const ServiceName &service, const FleetState &state,
+                                    TimePoint now) const;
+    // Moves a random selection of homeChoices agents of the own domain and remoteChoices of others
+    // to the front. Returns their number.
+    std::size_t sample(std::vector<Candidate> &agents, std::uint64_t seed) const;
 
     Options options;
     std::vector<Agent> agents;
     std::unordered_map<Endpoint, AgentIndex> indices;
+    std::map<ServiceName, KnownCosts> knownCosts;
+    std::uint64_t reports = 0;
 };
 
 } // namespace cactusdeck::mesh
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -18,7 +18,9 @@
 
 Balancer::Balancer(BalancerOptions balancerOptions)
     : options(std::move(balancerOptions))
-    , directory({ .zone = options.zone, .costPerKilobyte = options.costPerKilobyte })
+    , directory({ .zone = options.zone,
+                  .costPerKilobyte = options.costPerKilobyte,
+                  .requestSchedulingMaxSlots = options.requestSchedulingMaxSlots })
     , peers({ .self = options.mesh, .zone = options.zone })
     , cache(options.flowCacheEntries)
     , storeReader(options.decodeConfiguration, options.seed)
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -145,8 +145,9 @@
         return;
     }
     const ServiceName &service = route.serviceFor(flowHash);
-    std::vector<AgentDirectory::Candidate> order =
-            this->directory.candidates(service, this->fleet, flowHash, now);
+    AgentDirectory::Choice choice =
+            this->directory.choose(service, segment.key.destination, this->fleet, flowHash, now);
+    std::vector<AgentDirectory::Candidate> &order = choice.order;
     if (order.empty()) {
         if (isOnlyCopy(segment, at, now) && now - this->startedAt >= settleTime)
             this->reset(segment, "no_server", this->counts.resetNoServer, sink);
@@ -176,11 +177,11 @@
         hops.push_back(this->directory.at(order[i].agent).endpoint);
     if (order.size() > 1)
         frame.maxQueueWait = std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::max(Duration::zero(), order[1].cost - order[0].cost));
+                std::max(Duration::zero(), order[1].cost - order[0].cost) + choice.tolerance);
     this->sent.add(MessageKind::Forward, this->isHome(this->directory.at(first)),
                    segment.bytes.size());
     sendToHops(frame, hops, segment.bytes, sink);
-    this->directory.onPlaced(first, now);
+    this->directory.onPlaced(first, now, choice.work);
     if (entry == nullptr)
         entry = &this->cache.insert(flowHash, stampOf(now));
     const AgentDirectory::Agent &agent = this->directory.at(first);
--- a/mesh/expectedwait.cpp
+++ b/mesh/expectedwait.cpp
@@ -39,8 +39,28 @@
     const double wait = waitInServiceTimes(expectedLoad(estimate) / slots, slots);
     Seconds cost = Seconds(estimate.serviceTime) * (1 + wait);
     if (estimate.isOtherZone)
-        cost += Seconds(estimate.costPerKilobyte) * (estimate.responseBytes / 1024);
+        cost += transferCost(estimate.costPerKilobyte, estimate.responseBytes);
     return std::chrono::duration_cast<Duration>(cost);
 }
 
+Duration transferCost(Duration costPerKilobyte, double responseBytes)
+{
+    return std::chrono::duration_cast<Duration>(Seconds(costPerKilobyte) * (responseBytes / 1024));
+}
+
+Duration expectedTime(const ScheduledServer &server)
+{
+    const double slots = std::max<double>(1, server.slots);
+    // Requests in progress show a server that has slowed down, or a burst, before its flows do.
+    const double load = std::max(server.load * server.slowness, server.requestsInProgress)
+                        + server.flowLoad * server.slowness;
+    const Seconds queue = Seconds(server.meanWork) * waitInServiceTimes(load / slots, slots);
+    // The first requests of new flows arrive at once; the server has done part of them meanwhile.
+    const Seconds backlog = std::max(Seconds(server.placedWork) * server.slowness / slots
+                                             - Seconds(server.sinceReport),
+                                     Seconds::zero());
+    const Seconds time = (Seconds(server.work) + queue) * server.slowness + backlog;
+    return std::chrono::duration_cast<Duration>(time) + server.transfer;
+}
+
 } // namespace cactusdeck::mesh
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -1,5 +1,7 @@
 #include "mesh/peermessage.h"
 
+#include <cmath>
+
 #include <nlohmann/json.hpp>
 
 namespace cactusdeck::mesh {
@@ -91,6 +93,35 @@
     return holdings;
 }
 
+// Rates are sent in tenths, since an integer takes a third of the bytes of a floating-point number.
+constexpr double rateUnit = 0.1;
+constexpr std::size_t routesIndex = 17; // in a report
+
+json routeLoadsToJson(const std::vector<RouteLoad> &loads)
+{
+    json result = json::array();
+    for (const RouteLoad &load : loads)
+        result.push_back({ load.route.address, load.route.port, load.flows,
+                           std::uint32_t(std::lround(load.requestsPerSecond / rateUnit)),
+                           load.serviceTime.count(), load.samples });
+    return result;
+}
+
+// Agents of an earlier release do not state their routes.
+std::vector<RouteLoad> routeLoadsFrom(const json &report)
+{
+    std::vector<RouteLoad> loads;
+    if (report.size() <= routesIndex)
+        return loads;
+    for (const json &value : report.at(routesIndex))
+        loads.push_back({ .route = { value.at(0), value.at(1) },
+                          .flows = value.at(2),
+                          .requestsPerSecond = value.at(3).get<std::uint32_t>() * rateUnit,
+                          .serviceTime = std::chrono::microseconds(value.at(4).get<std::int64_t>()),
+                          .samples = value.at(5) });
+    return loads;
+}
+
 // Messages are encoded as arrays without field names, so that each fits into one small datagram.
 // The first element is the index of the message type in PeerMessage.
 json toJson(const BalancerHello &hello)
@@ -130,7 +161,8 @@
              report.interval.count(),
              report.knownBalancers,
              json::binary(encodeHoldings(report.holdings)),
-             report.knowsAllFlows };
+             report.knowsAllFlows,
+             routeLoadsToJson(report.routes) };
 }
 
 json toJson(const BalancerNotice &notice)
@@ -184,6 +216,7 @@
              .interval = millisecondsFrom(value.at(13)),
              .knownBalancers = value.at(14),
              .holdings = holdingsFrom(value.at(15).get_binary()),
+             .routes = routeLoadsFrom(value),
              .knowsAllFlows = value.at(16) };
 }
 
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -11,6 +11,7 @@
 #include "core/types.h"
 #include "mesh/fleetstate.h"
 #include "mesh/peerset.h"
+#include "mesh/requestcost.h"
 
 // Control messages between nodes. Each is one datagram: a tag byte that distinguishes it from the
 // data frames of core/frame.h, then CBOR. A node receives both kinds on its mesh endpoint.
@@ -68,6 +69,8 @@
     // The hash buckets in which the server has flows. Balancers need not ask this agent about flows
     // in other buckets.
     std::bitset<bucketCount> holdings;
+    // The busiest routes of the server's flows. Empty if not stated.
+    std::vector<RouteLoad> routes;
     // False if the server may have flows from before the agent's start that the agent has not seen.
     bool knowsAllFlows = false;
 };
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -63,8 +63,10 @@
 {
     this->erase(key, now);
     ServerFlow &flow = this->flows[key];
+    flow.route = key.destination;
     flow.openedAt = now;
     flow.lastActive = now;
+    this->routeCosts.onFlowOpened(flow.route);
     ++this->live;
     ++this->fresh;
     return flow;
@@ -102,9 +104,11 @@
         it = this->flows.erase(it);
     }
     this->serverLoad.reset(now);
+    this->serviceStarts.clear();
+    this->routeCosts.restart(now);
     for (auto &[key, flow] : this->flows) {
         if (flow.isInProgress)
-            flow.inProgressBefore = this->serverLoad.onRequest(now);
+            this->beginRequest(flow, now);
     }
 }
 
@@ -124,6 +128,7 @@
     if (flow.hasEnded)
         return;
     flow.hasEnded = true;
+    this->routeCosts.onFlowEnded(flow.route);
     --this->live;
 }
 
@@ -139,6 +144,14 @@
         return;
     flow.isInProgress = false;
     this->serverLoad.onAbandoned(now);
+    this->serviceStarts.onAbandoned(flow.request, this->slotCount, now);
+}
+
+void ServerFlows::beginRequest(ServerFlow &flow, TimePoint now)
+{
+    flow.inProgressBefore = this->serverLoad.onRequest(now);
+    flow.request = this->serviceStarts.onRequest(this->slotCount, now);
+    this->routeCosts.onRequest(flow.route, now);
 }
 
 void ServerFlows::onCaller(ServerFlow &flow, const Segment &segment, TimePoint now)
@@ -159,7 +172,7 @@
         if (!flow.isInProgress && !flow.hasEnded) {
             flow.isInProgress = true;
             flow.requestedAt = now;
-            flow.inProgressBefore = this->serverLoad.onRequest(now);
+            this->beginRequest(flow, now);
         }
     }
     if (segment.has(tcpflag::fin)) {
@@ -174,6 +187,7 @@
                            TimePoint now)
 {
     flow.lastActive = now;
+    this->slotCount = slots;
     if (segment.isOpeningAnswer()) {
         if (!flow.isAnswered)
             this->openings.add(now - flow.openedAt);
@@ -194,6 +208,8 @@
             flow.isInProgress = false;
             this->answers.add(now - flow.requestedAt);
             this->serverLoad.onResponse(now - flow.requestedAt, flow.inProgressBefore, slots, now);
+            if (const auto time = this->serviceStarts.onAnswer(flow.request, slots, now))
+                this->routeCosts.onAnswer(flow.route, *time);
         }
     }
     if (segment.has(tcpflag::fin))
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -11,8 +11,10 @@
 #include "core/flowtable.h"
 #include "core/frame.h"
 #include "mesh/latencyhistogram.h"
+#include "mesh/requestcost.h"
 #include "mesh/segment.h"
 #include "mesh/serverload.h"
+#include "mesh/servicestarts.h"
 
 // The flows of one backend server and, measured from their packets, its load.
 //
@@ -44,6 +46,8 @@
     // packet of the server. A reset to the caller uses it as its sequence number.
     std::uint32_t callerAcknowledgement = 0;
     std::uint32_t inProgressBefore = 0; // requests in progress at the server when this one arrived
+    std::uint64_t request = 0; // number of the one in progress, in ServiceStarts
+    Endpoint route; // the address that the caller uses
     RequestTerms terms; // of the flow's route, as in the last frame
     TimePoint openedAt;
     TimePoint requestedAt;
@@ -96,6 +100,7 @@
     // The number of flows whose first request has not arrived yet and may arrive at any moment.
     std::size_t freshCount() const { return this->fresh; }
     const ServerLoad &load() const { return this->serverLoad; }
+    const RouteCosts &costs() const { return this->routeCosts; }
     // Times from a request's first packet to the first byte of its response, over all runs of the
     // server.
     const LatencyHistogram &answerTimes() const { return this->answers; }
@@ -111,6 +116,7 @@
     // A request without a response counts as in progress only as long as callers wait for it.
     static constexpr std::chrono::seconds requestTimeout{ 5 };
 
+    void beginRequest(ServerFlow &flow, TimePoint now);
     void end(ServerFlow &flow, TimePoint now);
     void endFresh(ServerFlow &flow);
     void abandonRequest(ServerFlow &flow, TimePoint now);
@@ -119,6 +125,9 @@
     std::size_t live = 0;
     std::size_t fresh = 0;
     ServerLoad serverLoad;
+    ServiceStarts serviceStarts;
+    RouteCosts routeCosts;
+    std::uint32_t slotCount = 1; // of the server, as last stated
     LatencyHistogram answers;
     LatencyHistogram openings;
 };
