Ignore late and malformed heartbeats, and judge a young server by its age

An agent that missed a server's first heartbeat, as all do after a loss of power when the server is 60 ms faster, never knew that there are no earlier flows.

Ruled out: believing a lower start with sequence 1 because a clock may have been set back; such a server is believed after 3 s of silence and two heartbeats, and its cold time counts at once. The sequence alone as a server's age: the second heartbeat comes 1.2 s after the first, in which an earlier agent could have lived.

A server's age, by the clock that it shares with its agent and bounded by its sequence, rules out earlier flows.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -20,6 +20,7 @@
 void Agent::start(TimePoint now, Sink &sink)
 {
     this->startedAt = now;
+    this->record.start(now);
     this->watch.start(now);
     this->balancers.addSeeds(this->options.seeds, now);
     this->nextExpiry = now + expiryInterval;
@@ -94,6 +95,12 @@
     return true;
 }
 
+void Agent::onMalformedHeartbeat(const std::string &reason, Sink &sink)
+{
+    ++this->counts.rejectedHeartbeats;
+    sink.log(Level::Warning, "heartbeat_malformed", { { "reason", reason } });
+}
+
 void Agent::resetAllFlows(const char *reason, TimePoint now, Sink &sink)
 {
     this->resetFlowsBefore(TimePoint::max(), reason, now, sink);
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -69,7 +69,7 @@
     std::uint64_t malformed = 0;
     std::uint64_t heartbeats = 0;
     std::uint64_t staleHeartbeats = 0;
-    std::uint64_t rejectedHeartbeats = 0;
+    std::uint64_t rejectedHeartbeats = 0; // of other servers, or malformed
 };
 
 class Agent
@@ -84,6 +84,8 @@
     // Returns false if the heartbeat is not from this agent's backend server. For a stale heartbeat
     // it returns true but changes nothing.
     bool onHeartbeat(const Heartbeat &heartbeat, TimePoint now, Sink &sink);
+    // A heartbeat or deregistration that could not be decoded. It changes nothing.
+    void onMalformedHeartbeat(const std::string &reason, Sink &sink);
     void onDeregister(const std::string &instance, std::int64_t startedAt, TimePoint now,
                       Sink &sink);
     // Adds mesh endpoints of balancers that were found in the directory.
--- a/meshd/agentdaemon.cpp
+++ b/meshd/agentdaemon.cpp
@@ -16,6 +16,12 @@
 // that it has stopped.
 constexpr std::chrono::milliseconds serverCheckTimeout{ 300 };
 
+std::chrono::milliseconds timeOfDay()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+}
+
 class AgentDaemon
 {
 public:
@@ -100,8 +106,11 @@
                      .contentType = "text/plain" };
         const platform::ServerCall call =
                 platform::decodeCall(request.method, request.target, request.body);
-        if (const auto *heartbeat = std::get_if<mesh::Heartbeat>(&call)) {
-            if (this->agent.onHeartbeat(*heartbeat, now, this->loop))
+        if (const auto *decoded = std::get_if<mesh::Heartbeat>(&call)) {
+            mesh::Heartbeat heartbeat = *decoded;
+            if (heartbeat.startedAt != 0)
+                heartbeat.age = timeOfDay() - std::chrono::milliseconds(heartbeat.startedAt);
+            if (this->agent.onHeartbeat(heartbeat, now, this->loop))
                 return { .body = "{}" };
             return { .status = 400, .body = R"({"error":"not the server of this agent"})" };
         }
@@ -111,8 +120,7 @@
             return { .body = "{}" };
         }
         if (const auto *malformed = std::get_if<platform::MalformedCall>(&call)) {
-            this->loop.log(Level::Warning, "heartbeat_malformed",
-                           { { "target", request.target }, { "reason", malformed->reason } });
+            this->agent.onMalformedHeartbeat(malformed->reason, this->loop);
             return { .status = 400, .body = R"({"error":"malformed"})" };
         }
         return { .status = 404, .body = R"({"error":"not found"})" };
