Reset a flow only when every balancer's agents have been asked

Cause: a balancer declared a search complete by its own list of agents.

Ruled out: a digest of the list in each hello (evidence as old as the hello's interval, 4.9 s at 59 balancers); a count signed off by agents (they don't know each other); keeping silent agents for the lifetime of flows (does nothing for one that was never heard).

Change: before the first reset of a round of searches the balancer compares its list with those of all live balancers (AgentListCheck), in a round that begins after the flow's packet; one round serves all searches. A balancer that hears nobody while it knows of others resets nothing. A FIN or RST ends the cache's certainty. Unsure agents of evacuated domains are probed too, within their grace, and at most two packets of such a flow in 2.5 s go to servers that probably don't have it.

--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include <xxhash.h>
+
 #include "mesh/expectedwait.h"
 
 namespace cactusdeck::mesh {
@@ -52,6 +54,36 @@
     agent.heard = now;
 }
 
+bool AgentDirectory::addMissing(const std::vector<Endpoint> &known, TimePoint now)
+{
+    bool hasMissing = false;
+    for (const Endpoint &endpoint : known) {
+        const std::optional<AgentIndex> index = this->find(endpoint);
+        // An agent that has announced its server's end has no flows, though others may not have
+        // heard so yet.
+        if (index && (this->agents[*index].isPresent || this->agents[*index].isEnded))
+            continue;
+        hasMissing = true;
+        if (!index && !this->insert(endpoint))
+            continue;
+        Agent &agent = this->agents[this->indices.at(endpoint)];
+        agent.isPresent = true;
+        agent.heard = now;
+    }
+    return hasMissing;
+}
+
+std::uint64_t AgentDirectory::digest() const
+{
+    std::uint64_t digest = 0;
+    for (const AgentIndex index : this->possibleOwners()) {
+        const Endpoint endpoint = this->agents[index].endpoint;
+        const std::uint64_t value = (std::uint64_t(endpoint.address) << 16) | endpoint.port;
+        digest ^= XXH3_64bits(&value, sizeof value);
+    }
+    return digest;
+}
+
 bool AgentDirectory::onReport(const AgentReport &report, Endpoint from, TimePoint now)
 {
     if (!this->insert(from))
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -102,6 +102,10 @@
     // was best when it last reported. The servers compared come first, cheapest first.
     Choice choose(const ServiceName &service, Endpoint route, const FleetState &state,
                   std::uint64_t tieBreak, TimePoint now);
+    // Adds agents that another balancer knows now. Returns true if this balancer lacked any.
+    bool addMissing(const std::vector<Endpoint> &known, TimePoint now);
+    // The same for all balancers that know the same agents.
+    std::uint64_t digest() const;
     // All agents that may own flows.
     std::vector<AgentIndex> possibleOwners() const;
     OwnerState ownerState(AgentIndex agent, std::uint8_t generation) const;
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -57,6 +57,14 @@
             this->onReport(std::get<AgentReport>(*message), from, now, sink);
             return;
         }
+        if (message && std::holds_alternative<AgentListQuery>(*message)) {
+            this->onListQuery(std::get<AgentListQuery>(*message), from, sink);
+            return;
+        }
+        if (message && std::holds_alternative<AgentListAnswer>(*message)) {
+            this->onListAnswer(std::get<AgentListAnswer>(*message), from, now, sink);
+            return;
+        }
     } else if (const std::optional<ReplyFrame> reply = decodeReply(datagram)) {
         this->onReply(*reply, now, sink);
         return;
@@ -187,7 +195,8 @@
 TimePoint Balancer::nextTimer() const
 {
     TimePoint next = std::min({ this->nextHellos, this->nextHousekeeping,
-                                this->searches.nextDeadline(), this->storeReader.nextQuery() });
+                                this->searches.nextDeadline(), this->storeReader.nextQuery(),
+                                this->listCheck.deadline(), this->nextListCheck });
     if (this->fetchNotBefore != TimePoint{})
         next = std::min(next, this->fetchNotBefore);
     if (!this->startupPackets.empty() && this->fleet.configuration() != nullptr)
@@ -199,10 +208,16 @@
 {
     for (const std::uint64_t flowHash : this->searches.pastDeadline(now))
         this->onSearchDeadline(flowHash, now, sink);
+    if (const auto outcome = this->listCheck.onTimer(now))
+        this->onListChecked(*outcome, now, sink);
+    if (now >= this->nextListCheck)
+        this->beginListCheck(now, sink);
     if (now >= this->nextHousekeeping) {
         this->nextHousekeeping = now + housekeepingInterval;
         this->directory.forgetSilent(now);
         this->peers.forgetSilent(now);
+        std::erase_if(this->probed,
+                      [&](const auto &entry) { return now - entry.second.since >= probeWindow; });
         std::erase_if(this->newcomers,
                       [&](const auto &entry) { return now - entry.second >= newcomerTime; });
         const std::vector<Endpoint> known = this->peers.all();
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -11,6 +11,7 @@
 #include "core/frame.h"
 #include "core/tokenbucket.h"
 #include "mesh/agentdirectory.h"
+#include "mesh/agentlistcheck.h"
 #include "mesh/flowsearch.h"
 #include "mesh/peerset.h"
 #include "mesh/segment.h"
@@ -64,6 +65,8 @@
     std::uint64_t probes = 0; // sent to agents whose servers may have the flow
     std::uint64_t searchesFound = 0; // flows
     std::uint64_t searchesExpired = 0; // flows
+    std::uint64_t listChecks = 0; // rounds in which the list of agents was compared with others'
+    std::uint64_t listChecksFailed = 0; // the part in which a balancer did not answer
     std::uint64_t resetNoRoute = 0;
     std::uint64_t resetNoServer = 0;
     std::uint64_t resetEnded = 0; // flows whose backend server no longer runs or no longer has them
@@ -167,6 +170,10 @@
     static constexpr double questionsPerSecond = 600;
     static constexpr double questionBurst = 1200;
     static constexpr std::size_t placementHops = 4;
+    // The packets of a flow must not reach several servers of others and never its own, which may
+    // be the case if its own agent has given up its flows: so few of them are probed in this time.
+    static constexpr std::chrono::milliseconds probeWindow{ 2500 };
+    static constexpr int probesPerWindow = 2;
     // From this copy of an opening packet on, the agent that accepted the flow is suspected to have
     // stopped, and another one may be chosen.
     static constexpr std::uint32_t agentSuspectCopy = 2;
@@ -227,7 +234,18 @@
                         TimePoint now, Sink &sink);
     void onSearchDeadline(std::uint64_t flowHash, TimePoint now, Sink &sink);
     void probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink);
+    // No agent that this balancer knows has the flow.
     void finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    // Ends the search. The flow is reset if it is certain that it is lost.
+    void declareLost(std::uint64_t flowHash, bool isCertain, Sink &sink);
+    void beginListCheck(TimePoint now, Sink &sink);
+    void onListQuery(const AgentListQuery &query, Endpoint from, Sink &sink);
+    void onListAnswer(const AgentListAnswer &answer, Endpoint from, TimePoint now, Sink &sink);
+    void onListChecked(AgentListCheck::Outcome outcome, TimePoint now, Sink &sink);
+    // Asks again for the flow, after agents were added to the list.
+    void searchAgain(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    // Allows two packets of a flow in a while to be sent to servers that probably don't have it.
+    bool mayProbe(std::uint64_t flowHash, TimePoint now);
     // Decides which agents to ask about a flow and which are ruled out by their reports.
     SearchPlan planSearch(const FlowKey &key, SearchSends &sends, TimePoint now);
     void planChains(const FlowKey &key, const std::vector<AgentIndex> &agents, SearchPlan &plan,
@@ -291,6 +309,13 @@
     std::map<Endpoint, PeerState> peerStates;
     FlowCache cache;
     FlowSearches searches;
+    AgentListCheck listCheck;
+    struct ProbeCount
+    {
+        TimePoint since;
+        int packets = 0;
+    };
+    std::map<std::uint64_t, ProbeCount> probed; // by flow hash
     TokenBucket questions{ questionsPerSecond, questionBurst };
     StateReader storeReader;
     BalancerCounters counts;
@@ -313,6 +338,8 @@
     std::vector<PeerSet::Contact> contacts; // for the home hellos of this round
     std::vector<PeerSet::Contact> readerContacts; // for its hellos to other domains
     TimePoint nextHousekeeping;
+    // When searches that wait for it begin the next check of the list of agents.
+    TimePoint nextListCheck = TimePoint::max();
     TimePoint lastPacket;
     TimePoint storeLostAt{};
     bool isStopping = false;
--- a/mesh/balancerpackets.cpp
+++ b/mesh/balancerpackets.cpp
@@ -216,6 +216,11 @@
         entry->stamp = stampOf(now);
         ++this->counts.forwarded;
         this->forward(segment, entry->agent, 0, sink);
+        // The caller may soon use its port for another flow, which this server does not have.
+        if (segment.has(tcpflag::rst))
+            this->cache.erase(flowHash);
+        else if (segment.has(tcpflag::fin))
+            entry->attempts = FlowCache::accepted;
         return;
     case OwnerState::Lost:
         this->cache.erase(flowHash);
@@ -233,7 +238,8 @@
         this->reset(segment, "server_ended", this->counts.resetEnded, sink);
     else
         // The next run of the server may have accepted the flow before the agent heard of the run.
-        this->beginSearch(segment, { .asked = { agent } }, { .questions = { agent } }, now, sink);
+        this->beginSearch(segment, { .asked = { agent }, .isOwnerKnown = true },
+                          { .questions = { agent } }, now, sink);
 }
 
 void Balancer::forward(const Segment &segment, AgentIndex index, std::uint8_t flags, Sink &sink)
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -19,6 +19,12 @@
     }
     SearchSends sends;
     const SearchPlan plan = this->planSearch(segment.key, sends, now);
+    if (plan.mayBeAbandoned && !this->mayProbe(flowHash, now)) {
+        ++this->counts.dropped;
+        sink.log(Level::Info, "packet_dropped",
+                 { { "flow", toString(segment.key) }, { "reason", "flow_may_be_abandoned" } });
+        return;
+    }
     this->beginSearch(segment, plan, sends, now, sink);
 }
 
@@ -79,10 +85,14 @@
         } else if (isAskedAnyway || entry.report.knowsAllFlows || !entry.hasReported()) {
             plan.asked.push_back(agent);
             sends.questions.push_back(agent);
-        } else if (this->mayHold(key, agent) && !this->fleet.isEvacuated(entry.report.zone, now)) {
-            // Agents of evacuated domains forward packets without consulting their servers, so a
-            // chain through them would rule nothing out.
+        } else if (this->mayHold(key, agent)) {
             (this->isHome(entry) ? chained : plan.unconfirmed).push_back(agent);
+            // Some time after an evacuation, agents of the domain forward packets without
+            // consulting their servers, so a chain through them rules nothing out.
+            if (this->fleet.isEvacuated(entry.report.zone, now)) {
+                plan.isComplete = false;
+                plan.mayBeAbandoned = true;
+            }
         } else {
             plan.isComplete = false;
         }
@@ -216,9 +226,20 @@
     this->sendChains(*segment, probeChains, sink);
 }
 
-// No server has the flow. If this balancer knows every agent it resets the flow, so that the caller
-// does not wait for an answer in vain.
 void Balancer::finishSearch(std::uint64_t flowHash, TimePoint now, Sink &sink)
+{
+    FlowSearch *search = this->searches.find(flowHash);
+    const bool isNew = now - this->startedAt < agentDiscoveryTime;
+    if (isNew || search->isOwnerKnown() || this->listCheck.isCompleteSince(search->begunAt())) {
+        this->declareLost(flowHash, !isNew, sink);
+        return;
+    }
+    search->startListCheck(now);
+    this->beginListCheck(now, sink);
+}
+
+// A caller whose flow is lost is told so, and does not wait for an answer in vain.
+void Balancer::declareLost(std::uint64_t flowHash, bool isCertain, Sink &sink)
 {
     const FlowSearch *search = this->searches.find(flowHash);
     const std::vector<std::uint8_t> packet = search->packets().front();
@@ -227,9 +248,8 @@
     const std::optional<Segment> segment = this->options.codec->parse(packet);
     if (!segment)
         return;
-    const bool knowsAllAgents = now - this->startedAt >= agentDiscoveryTime;
     // A caller that sent only an acknowledgement waits for no answer and needs no reset.
-    if (knowsAllAgents && (segment->payloadLength > 0 || segment->has(tcpflag::fin))) {
+    if (isCertain && (segment->payloadLength > 0 || segment->has(tcpflag::fin))) {
         this->reset(*segment, "flow_unknown", this->counts.resetEnded, sink);
         return;
     }
@@ -237,7 +257,92 @@
     sink.log(Level::Info, "packet_dropped",
              { { "flow", toString(segment->key) },
                { "reason", "flow_unknown" },
-               { "certain", knowsAllAgents ? "yes" : "no" } });
+               { "certain", isCertain ? "yes" : "no" } });
+}
+
+void Balancer::beginListCheck(TimePoint now, Sink &sink)
+{
+    this->nextListCheck = TimePoint::max();
+    if (this->listCheck.isPending())
+        return;
+    if (!this->listCheck.mayBegin(now)) {
+        this->nextListCheck = this->listCheck.nextBegin();
+        return;
+    }
+    const std::vector<Endpoint> live = this->peers.live(now);
+    if (live.empty()) {
+        // Balancers that are known but not heard may know agents that this one lacks.
+        if (this->peers.size() > 0)
+            return;
+        this->listCheck.completeAlone(now);
+        this->onListChecked(AgentListCheck::Outcome::Complete, now, sink);
+        return;
+    }
+    ++this->counts.listChecks;
+    const std::vector<std::uint8_t> bytes = encode(AgentListQuery{
+            .round = this->listCheck.begin(live, now), .digest = this->directory.digest() });
+    for (const Endpoint &peer : live) {
+        this->sent.add(MessageKind::Hello, this->peers.isHome(peer), bytes.size());
+        sink.toNode(peer, bytes, {});
+    }
+}
+
+void Balancer::onListQuery(const AgentListQuery &query, Endpoint from, Sink &sink)
+{
+    AgentListAnswer answer{ .round = query.round };
+    if (query.digest != this->directory.digest()) {
+        for (const AgentIndex agent : this->directory.possibleOwners())
+            answer.agents.push_back(this->directory.at(agent).endpoint);
+    }
+    const std::vector<std::uint8_t> bytes = encode(answer);
+    this->sent.add(MessageKind::Hello, this->peers.isHome(from), bytes.size());
+    sink.toNode(from, bytes, {});
+}
+
+void Balancer::onListAnswer(const AgentListAnswer &answer, Endpoint from, TimePoint now, Sink &sink)
+{
+    const bool hasMissing = this->directory.addMissing(answer.agents, now);
+    if (const auto outcome = this->listCheck.onAnswer(from, answer.round, hasMissing))
+        this->onListChecked(*outcome, now, sink);
+}
+
+void Balancer::onListChecked(AgentListCheck::Outcome outcome, TimePoint now, Sink &sink)
+{
+    bool isWaiting = false;
+    this->counts.listChecksFailed += outcome == AgentListCheck::Outcome::Failed ? 1 : 0;
+    if (outcome != AgentListCheck::Outcome::Complete)
+        sink.log(Level::Info, "agent_list_checked",
+                 { { "complete", "no" },
+                   { "extended", outcome == AgentListCheck::Outcome::Extended ? "yes" : "no" } });
+    for (const std::uint64_t flowHash : this->searches.inListCheck()) {
+        const FlowSearch *search = this->searches.find(flowHash);
+        if (outcome == AgentListCheck::Outcome::Extended)
+            this->searchAgain(flowHash, now, sink);
+        else if (this->listCheck.isCompleteSince(search->begunAt()))
+            this->declareLost(flowHash, true, sink);
+        else
+            isWaiting = true;
+    }
+    if (isWaiting)
+        this->beginListCheck(now, sink);
+}
+
+void Balancer::searchAgain(std::uint64_t flowHash, TimePoint now, Sink &sink)
+{
+    const std::vector<std::vector<std::uint8_t>> packets = this->searches.find(flowHash)->packets();
+    this->searches.erase(flowHash);
+    for (const std::vector<std::uint8_t> &packet : packets) {
+        if (const auto segment = this->options.codec->parse(packet))
+            this->search(*segment, flowHash, now, sink);
+    }
+}
+
+bool Balancer::mayProbe(std::uint64_t flowHash, TimePoint now)
+{
+    ProbeCount &count = this->probed[flowHash];
+    if (count.packets == 0 || now - count.since >= probeWindow)
+        count = { .since = now };
+    return count.packets++ < probesPerWindow;
 }
 
 } // namespace cactusdeck::mesh
--- a/mesh/flowsearch.cpp
+++ b/mesh/flowsearch.cpp
@@ -4,10 +4,11 @@
 
 namespace cactusdeck::mesh {
 
-FlowSearch::FlowSearch(const FlowKey &searched, SearchPlan searchPlan, TimePoint begun)
+FlowSearch::FlowSearch(const FlowKey &searched, SearchPlan searchPlan, TimePoint begunAt)
     : flow(searched)
     , plan(std::move(searchPlan))
-    , until(begun + (this->plan.hasChains ? probeTime : askTime))
+    , begun(begunAt)
+    , until(begunAt + (this->plan.hasChains ? probeTime : askTime))
 {
     this->advance();
 }
@@ -63,6 +64,12 @@
     this->until = now + probeTime;
 }
 
+void FlowSearch::startListCheck(TimePoint now)
+{
+    this->currentStage = SearchStage::CheckingAgents;
+    this->until = now + listCheckTime;
+}
+
 SearchStage FlowSearch::onDeadline()
 {
     // An agent that did not answer may own the flow. The search can still find the flow, but must
@@ -86,6 +93,16 @@
                     .first->second;
 }
 
+std::vector<std::uint64_t> FlowSearches::inListCheck() const
+{
+    std::vector<std::uint64_t> hashes;
+    for (const auto &[hash, search] : this->searches) {
+        if (search.stage() == SearchStage::CheckingAgents)
+            hashes.push_back(hash);
+    }
+    return hashes;
+}
+
 std::vector<std::uint64_t> FlowSearches::pastDeadline(TimePoint now) const
 {
     std::vector<std::uint64_t> hashes;
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -28,7 +28,8 @@
     MustProbe, // no agent knows the flow, but the servers of the unsure agents may have it
     Probing, // the packet was sent to these servers
     MustConfirm, // nobody asked has the flow; the other agents must be asked through chains
-    Exhausted, // no server has the flow
+    Exhausted, // no agent that this balancer knows has the flow
+    CheckingAgents, // exhausted; the balancer checks whether it knows all agents
     Unresolved, // the flow was neither found nor ruled out
 };
 
@@ -38,6 +39,10 @@
     // Asked last: ruled out by their last reports, or unlikely because they are in other domains.
     std::vector<AgentIndex> unconfirmed;
     bool isComplete = true; // false if the flow may be at an agent in neither list
+    // The flow's own server has answered, or is among the asked; other agents need not be known.
+    bool isOwnerKnown = false;
+    // An agent that may have the flow no longer passes its packets to its server.
+    bool mayBeAbandoned = false;
     // Some of the asked agents are the last of a chain. Each agent of a chain gives the packet to
     // its server and, if the server bounces it, forwards it to the next agent.
     bool hasChains = false;
@@ -51,7 +56,7 @@
     static constexpr std::size_t maxHeldPackets = 4;
 
     FlowSearch() = default;
-    FlowSearch(const FlowKey &flow, SearchPlan searchPlan, TimePoint begun);
+    FlowSearch(const FlowKey &flow, SearchPlan searchPlan, TimePoint begunAt);
 
     void hold(std::span<const std::uint8_t> packet);
     // Returns the stage after the answer. Answers of agents that were not asked are ignored.
@@ -60,6 +65,8 @@
     void startProbing(std::vector<AgentIndex> agents, TimePoint now);
     // The packet was sent along chains of the unconfirmed agents, which end with these agents.
     void startConfirming(std::vector<AgentIndex> chainEnds, TimePoint now);
+    // Waits until the list of agents is known to be complete.
+    void startListCheck(TimePoint now);
     // The deadline has passed without all answers or reports. Returns the next stage.
     SearchStage onDeadline();
 
@@ -71,6 +78,8 @@
     const std::vector<AgentIndex> &unconfirmed() const { return this->plan.unconfirmed; }
     const std::vector<std::vector<std::uint8_t>> &packets() const { return this->held; }
     TimePoint deadline() const { return this->until; }
+    TimePoint begunAt() const { return this->begun; }
+    bool isOwnerKnown() const { return this->plan.isOwnerKnown; }
 
 private:
     // An answer takes one round trip, which is below 10 ms between failure domains of a region.
@@ -78,6 +87,8 @@
     // Shorter than the caller's first retransmission time-out (200 ms). A chain of eight agents
     // takes a tenth of this time.
     static constexpr std::chrono::milliseconds probeTime{ 150 };
+    // Several rounds of the check.
+    static constexpr std::chrono::milliseconds listCheckTime{ 1000 };
 
     SearchStage advance();
 
@@ -86,6 +97,7 @@
     std::vector<AgentIndex> unsureAgents;
     std::vector<std::vector<std::uint8_t>> held;
     SearchStage currentStage = SearchStage::Asking;
+    TimePoint begun;
     TimePoint until;
 };
 
@@ -99,6 +111,8 @@
     // Returns null if the capacity is used up.
     FlowSearch *begin(const FlowKey &flow, SearchPlan plan, TimePoint now);
     void erase(std::uint64_t flowHash) { this->searches.erase(flowHash); }
+    // The hashes of the flows whose searches wait for the check of the list of agents.
+    std::vector<std::uint64_t> inListCheck() const;
     // The hashes of the flows whose searches are past their deadlines.
     std::vector<std::uint64_t> pastDeadline(TimePoint now) const;
     TimePoint nextDeadline() const;
--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -337,15 +337,18 @@
     node.nextHeartbeat = this->now + heartbeatInterval;
     if (!node.isUp || !node.server.isUp || !node.sendsHeartbeats)
         return;
-    node.agent->onHeartbeat({ .instance = node.server.instance,
-                              .startedAt = node.server.startedAt,
-                              .sequence = ++node.server.sequence,
-                              .service = ServiceName{ node.service },
-                              .address = { node.endpoint.address, serverPort },
-                              .slots = 5,
-                              .isDraining = node.server.isDraining,
-                              .coldFor = node.server.coldFor },
-                            this->now, *node.sink);
+    Heartbeat heartbeat{ .instance = node.server.instance,
+                         .startedAt = node.server.startedAt,
+                         .sequence = ++node.server.sequence,
+                         .service = ServiceName{ node.service },
+                         .address = { node.endpoint.address, serverPort },
+                         .slots = 5,
+                         .isDraining = node.server.isDraining,
+                         .coldFor = node.server.coldFor };
+    if (node.server.upSince)
+        heartbeat.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                this->now - *node.server.upSince);
+    node.agent->onHeartbeat(heartbeat, this->now, *node.sink);
 }
 
 void World::checkServer(AgentNode &node)
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -53,6 +53,7 @@
 
     std::string instance;
     std::int64_t startedAt = 1;
+    std::optional<TimePoint> upSince; // if set, heartbeats state the age
     std::uint64_t sequence = 0;
     bool isUp = true;
     bool timesOutWhenDown = false; // when down, connections time out instead of being refused
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -180,6 +180,16 @@
              notice.evacuationsAsOf.era };
 }
 
+json toJson(const AgentListQuery &query)
+{
+    return { 3, query.round, query.digest };
+}
+
+json toJson(const AgentListAnswer &answer)
+{
+    return { 4, answer.round, toBytes(answer.agents) };
+}
+
 BalancerHello helloFrom(const json &value)
 {
     return { .name = value.at(1),
@@ -285,6 +295,10 @@
             return reportFrom(value);
         case 2:
             return noticeFrom(value);
+        case 3:
+            return AgentListQuery{ .round = value.at(1), .digest = value.at(2) };
+        case 4:
+            return AgentListAnswer{ .round = value.at(1), .agents = endpointsFrom(value.at(2)) };
         default:
             return std::nullopt;
         }
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -89,7 +89,21 @@
     std::vector<Endpoint> newcomers; // have just started and need a report at once
 };
 
-using PeerMessage = std::variant<BalancerHello, AgentReport, BalancerNotice>;
+// Sent from balancer to balancer: asks which agents the receiver knows.
+struct AgentListQuery
+{
+    std::uint32_t round = 0; // returned in the answer
+    std::uint64_t digest = 0; // of the sender's list
+};
+
+struct AgentListAnswer
+{
+    std::uint32_t round = 0;
+    std::vector<Endpoint> agents; // empty if the digests are equal
+};
+
+using PeerMessage =
+        std::variant<BalancerHello, AgentReport, BalancerNotice, AgentListQuery, AgentListAnswer>;
 
 // Each endpoint takes six bytes: address and port in network byte order.
 std::vector<std::uint8_t> encodeEndpoints(const std::vector<Endpoint> &endpoints);
--- /dev/null
+++ b/mesh/recovery_test.cpp
@@ -0,0 +1,119 @@
+#include <boost/test/unit_test.hpp>
+
+#include "mesh/agentlistcheck.h"
+#include "mesh/meshworld_test.h"
+
+using namespace cactusdeck;
+using namespace cactusdeck::mesh;
+using namespace cactusdeck::mesh::test;
+
+// How callers learn that their flows are lost, and that living flows are kept, when many nodes have
+// restarted.
+
+namespace {
+
+const Endpoint booking{ 0xC6120001u, 443 };
+
+struct Fixture
+{
+    Fixture()
+    {
+        this->world.addBalancer("b1", "zone-a");
+        this->world.addBalancer("b2", "zone-b");
+        this->world.addAgent("a1", "zone-a", "booking");
+        this->world.addAgent("a2", "zone-b", "booking");
+        this->world.addAgent("a3", "zone-a", "tickets");
+        this->world.publish(configurationOf({ { booking, "booking" } }));
+        this->world.run(3s);
+    }
+
+    // All machines lose their power. The servers start again before their agents, which miss the
+    // first heartbeats.
+    void losePower()
+    {
+        for (const char *agent : { "a1", "a2", "a3" }) {
+            this->world.restartServer(agent, std::string("second-") + agent);
+            Server &server = this->world.agent(agent).server;
+            server.upSince = this->world.now;
+            server.sequence = 1;
+            this->world.agent(agent).nextHeartbeat = this->world.now + 1200ms;
+        }
+        for (const char *balancer : { "b1", "b2" })
+            this->world.restartBalancer(balancer);
+        this->world.run(60ms);
+        for (const char *agent : { "a1", "a2", "a3" })
+            this->world.restartAgent(agent);
+    }
+
+    World world;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(recovery, Fixture)
+
+// Load pattern: after a loss of power all callers send on flows that no longer exist.
+BOOST_AUTO_TEST_CASE(flowsOfBeforeALossOfPowerAreResetAtOnce)
+{
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(port), booking).empty());
+    this->losePower();
+    this->world.run(2s);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.request("b1", callerOf(port), booking, 10ms));
+    this->world.run(300ms);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 1u);
+}
+
+// Only the processes of the fleet are killed; the servers and their flows live.
+BOOST_AUTO_TEST_CASE(flowsOfBeforeAKillOfAllProcessesAreFound)
+{
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(port), booking).empty());
+    for (const char *balancer : { "b1", "b2" })
+        this->world.restartBalancer(balancer);
+    for (const char *agent : { "a1", "a2", "a3" })
+        this->world.restartAgent(agent);
+    this->world.run(2s);
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        BOOST_TEST(this->world.request("b1", callerOf(port), booking, 100ms));
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 0u);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aListIsCompleteOnceEveryBalancerHasAnswered)
+{
+    const TimePoint start{ 1h };
+    const Endpoint first = endpointOf(1, 7000);
+    const Endpoint second = endpointOf(2, 7000);
+    AgentListCheck check;
+    const std::uint32_t round = check.begin({ first, second }, start);
+    BOOST_TEST(!check.onAnswer(first, round, false).has_value());
+    BOOST_TEST(!check.onAnswer(first, round, false).has_value()); // a copy of the answer
+    BOOST_TEST(!check.isCompleteSince(start));
+    BOOST_TEST(int(check.onAnswer(second, round, false).value())
+               == int(AgentListCheck::Outcome::Complete));
+    BOOST_TEST(check.isCompleteSince(start));
+    // The flow's packet has arrived after the round began.
+    BOOST_TEST(!check.isCompleteSince(start + 1ms));
+}
+
+BOOST_AUTO_TEST_CASE(aListIsNotCompleteWithoutAnAnswerOrWithAMissingAgent)
+{
+    const TimePoint start{ 1h };
+    const Endpoint first = endpointOf(1, 7000);
+    const Endpoint second = endpointOf(2, 7000);
+    AgentListCheck check;
+    std::uint32_t round = check.begin({ first, second }, start);
+    check.onAnswer(first, round, false);
+    BOOST_TEST(!check.onTimer(start + 10ms).has_value());
+    BOOST_TEST(int(check.onTimer(start + 1s).value()) == int(AgentListCheck::Outcome::Failed));
+    BOOST_TEST(!check.onAnswer(second, round, false).has_value()); // too late
+    round = check.begin({ first }, start + 2s);
+    BOOST_TEST(int(check.onAnswer(first, round, true).value())
+               == int(AgentListCheck::Outcome::Extended));
+    BOOST_TEST(!check.isCompleteSince(start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
