Hold requests at the agent until their server has a free slot

Callers whose answers are worth most had the lowest share, since priority, target and timeout of a route decided nothing.

Ruled out: bounding openings alone, since the requests of open flows are the load; core's Admission as the gate: it halves its limit after three slow responses, and one route's requests take seven times as long as another's here, so it would take the expensive route for an overload (docs/design/request-order.md).

Change: RequestScheduler gives the server as many requests as it has slots; the others wait in core's RequestQueue, which both interfaces use now, ordered by what can still be in time, priority and time left, with every eighth for the one that has waited longest. Packets of a held request stay in order; others pass. A flow whose requests could not be answered before the caller gives up is declined.

--- a/core/admission_test.cpp
+++ b/core/admission_test.cpp
@@ -286,16 +286,16 @@
     BOOST_TEST(push(2, 10, 1s));
     BOOST_TEST(push(1, 11, 9s)); // the first packet's deadline holds
     BOOST_TEST(push(1, 10, 9s)); // retransmission
-    BOOST_TEST(queue.front()->source.port == 1);
+    BOOST_TEST(queue.front(now)->source.port == 1);
     std::vector<std::uint16_t> expired;
     const auto note = [&](const FlowKey &key) { expired.push_back(key.source.port); };
     queue.expire(now + 1s, note);
     BOOST_TEST(expired == std::vector<std::uint16_t>{ 2 }, boost::test_tools::per_element());
-    BOOST_TEST(queue.take(*queue.front()).size() == 2u);
+    BOOST_TEST(queue.take(FlowKey(*queue.front(now))).size() == 2u);
     BOOST_TEST(push(3, 10, 5s));
     queue.expire(now + 5s, note);
     BOOST_TEST(queue.size() == 0u);
-    BOOST_TEST((queue.front() == nullptr));
+    BOOST_TEST((queue.front(now) == nullptr));
     std::size_t held = 0;
     for (std::uint16_t port = 1; port <= 2000; ++port)
         held += push(port, 1, 1s) ? 1 : 0;
--- a/core/requesttracker.cpp
+++ b/core/requesttracker.cpp
@@ -49,7 +49,7 @@
     if (flow.isQueued)
         return this->hold(flow, view, now);
     // A new request is delivered at once only if no earlier one is queued.
-    if (this->queue.front() == nullptr) {
+    if (this->queue.isEmpty()) {
         if (const auto ticket = this->admission.begin(now)) {
             flow.ticket = *ticket;
             flow.isResponding = false;
@@ -131,7 +131,7 @@
 
 void RequestTracker::dispatch(TimePoint now, DataSink &sink)
 {
-    while (const FlowKey *front = this->queue.front()) {
+    while (const FlowKey *front = this->queue.front(now)) {
         const FlowKey key = *front;
         Flow *flow = this->flows.find(key);
         if (flow == nullptr) {
--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -122,6 +122,7 @@
     this->mustEndFlows = false;
     this->counts.resetFlows += count;
     this->flows.endRun(openedBefore, now);
+    this->scheduler.clear();
     this->probes.clear();
     sink.log(Level::Info, "flows_reset",
              { { "count", std::to_string(count) },
@@ -357,8 +358,9 @@
 
 TimePoint Agent::nextTimer() const
 {
-    TimePoint next = std::min({ this->nextHomeReport, this->nextRemoteReport, this->nextExpiry,
-                                this->returnsAt, this->watch.nextCheck() });
+    TimePoint next =
+            std::min({ this->nextHomeReport, this->nextRemoteReport, this->nextExpiry,
+                       this->returnsAt, this->watch.nextCheck(), this->scheduler.nextTimer() });
     if (this->mustEndFlows)
         next = std::min(next, this->deregisteredAt + exitDelay + std::chrono::milliseconds(1));
     return this->isStopping ? std::min(next, this->nextStopCheck) : next;
@@ -373,6 +375,8 @@
         std::erase_if(this->probes,
                       [&](const auto &entry) { return now - entry.second.sentAt > probeTimeout; });
     }
+    if (now >= this->scheduler.nextTimer())
+        this->expireRequests(now, sink);
     if (now >= this->returnsAt)
         this->setEvacuated(false, now, {}, sink);
     if (this->mustEndFlows && this->hasServerExited(now))
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -13,6 +13,7 @@
 #include "mesh/coldstartlimiter.h"
 #include "mesh/peermessage.h"
 #include "mesh/peerset.h"
+#include "mesh/requestscheduler.h"
 #include "mesh/segment.h"
 #include "mesh/serverflows.h"
 #include "mesh/serverrecord.h"
@@ -66,6 +67,8 @@
     std::uint64_t droppedResets = 0; // the part of serverResets for flows not open at the server
     std::uint64_t droppedEvacuated = 0;
     std::uint64_t droppedEarlierFlow = 0; // late packets of the server
+    std::uint64_t unservable =
+            0; // the part of refused or declined that no one could answer in time
     std::uint64_t malformed = 0;
     std::uint64_t heartbeats = 0;
     std::uint64_t staleHeartbeats = 0;
@@ -113,6 +116,8 @@
     const LatencyHistogram &answerTimes() const { return this->flows.answerTimes(); }
     const LatencyHistogram &openingTimes() const { return this->flows.openingTimes(); }
     std::size_t flowCount() const { return this->flows.openCount(); }
+    const RequestScheduler &requests() const { return this->scheduler; }
+    const RouteCosts &costs() const { return this->flows.costs(); }
 
 private:
     // Reports contain the load. An agent counts as silent after three missing reports. Balancers of
@@ -255,6 +260,11 @@
     // True if no flow from before the agent's start can still exist.
     bool knowsAllFlows() const;
     void sendToServer(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink);
+    // Returns true if the packet of an open flow may go to the server now.
+    bool schedule(ServerFlow &flow, const Segment &segment, TimePoint now);
+    // Sends held requests for which the server has free slots.
+    void releaseRequests(TimePoint now, Sink &sink);
+    void expireRequests(TimePoint now, Sink &sink);
     static std::chrono::milliseconds intervalFor(std::size_t recipients, double bytesPerSecond);
 
     AgentOptions options;
@@ -263,6 +273,7 @@
     ServerRecord record;
     ServerWatch watch;
     ServerFlows flows;
+    RequestScheduler scheduler;
     ColdStartLimiter coldStartLimiter;
     std::unordered_map<FlowKey, Probe, FlowKeyHash> probes;
     AgentCounters counts;
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -111,6 +111,13 @@
             this->forwardOpening(opening, segment, { "busy", true }, sink);
             return;
         }
+        // No request of the flow could be answered before its caller gives up.
+        if (this->isScheduling() && opening.terms.timeout > std::chrono::milliseconds::zero()
+            && this->expectedWait() > opening.terms.timeout) {
+            ++this->counts.unservable;
+            this->forwardOpening(opening, segment, { "unservable", false }, sink);
+            return;
+        }
         flow = &this->flows.open(segment.key, now);
     }
     flow->openingSequence = segment.sequence;
@@ -199,7 +206,56 @@
     flow->balancer = frame.replyTo;
     flow->terms = frame.terms;
     this->flows.onCaller(*flow, segment, now);
+    if (!this->schedule(*flow, segment, now))
+        return;
     this->sendToServer(segment.bytes, now, sink);
+    // The caller may have given up a request.
+    this->releaseRequests(now, sink);
+}
+
+bool Agent::schedule(ServerFlow &flow, const Segment &segment, TimePoint now)
+{
+    if (!flow.isInProgress || flow.hasEnded)
+        this->scheduler.finish(segment.key);
+    const bool isOfWaitingRequest =
+            flow.isInProgress && !flow.isAtServer && segment.payloadLength > 0;
+    if (!isOfWaitingRequest)
+        return true;
+    if (this->isScheduling()) {
+        this->scheduler.setSlots(this->record.slots());
+        if (!this->scheduler.offer(segment, flow.terms,
+                                   this->flows.costs().serviceTimeOf(flow.route), now))
+            return false;
+    }
+    this->flows.onSent(flow, now);
+    return true;
+}
+
+void Agent::releaseRequests(TimePoint now, Sink &sink)
+{
+    while (const FlowKey *next = this->scheduler.next(now)) {
+        const FlowKey key = *next;
+        ServerFlow *flow = this->flows.find(key);
+        const bool isWaiting = flow != nullptr && flow->isInProgress && !flow->isAtServer;
+        if (!isWaiting || this->isOutOfService(now)) {
+            this->scheduler.finish(key);
+            continue;
+        }
+        this->flows.onSent(*flow, now);
+        for (const std::vector<std::uint8_t> &packet : this->scheduler.take(key, now))
+            this->sendToServer(packet, now, sink);
+    }
+}
+
+void Agent::expireRequests(TimePoint now, Sink &sink)
+{
+    const std::size_t expired = this->scheduler.expire(now);
+    if (expired > 0)
+        sink.log(Level::Info, "requests_expired",
+                 { { "count", std::to_string(expired) },
+                   { "waiting", std::to_string(this->scheduler.waiting()) },
+                   { "at_server", std::to_string(this->scheduler.atServer()) } });
+    this->releaseRequests(now, sink);
 }
 
 void Agent::onUnknown(const ForwardFrame &frame, const Segment &segment, TimePoint now, Sink &sink)
@@ -317,12 +373,16 @@
         return;
     if (flow != nullptr) {
         const bool wasAnswered = flow->isAnswered;
+        const bool wasInProgress = flow->isInProgress;
         this->flows.onServer(*flow, *segment, this->record.slots(), now);
+        if (wasInProgress && !flow->isInProgress)
+            this->scheduler.finish(key);
         if (segment->isOpeningAnswer() && !wasAnswered)
             this->reply(Verdict::Accepted, key, flow->balancer, sink);
     }
     ++this->counts.toCaller;
     sink.toCaller(segment->key.destination, segment->bytes);
+    this->releaseRequests(now, sink);
 }
 
 void Agent::dropEarlier(const FlowKey &key, Sink &sink)
@@ -405,6 +465,7 @@
     if (const ServerFlow *flow = this->flows.find(segment.key))
         this->reply(Verdict::UnknownFlow, segment.key, flow->balancer, sink);
     this->flows.erase(segment.key, now);
+    this->scheduler.finish(segment.key);
     if (!segment.has(tcpflag::rst))
         this->resetCaller(segment, reason, sink);
 }
--- a/mesh/requestcost.cpp
+++ b/mesh/requestcost.cpp
@@ -55,6 +55,12 @@
         entry = { .flows = entry.flows, .rate = rateAt(entry, now), .rateAt = now };
 }
 
+Duration RouteCosts::serviceTimeOf(Endpoint route) const
+{
+    const auto it = this->routes.find(route);
+    return it == this->routes.end() ? Duration::zero() : it->second.mean;
+}
+
 std::vector<RouteLoad> RouteCosts::loads(TimePoint now) const
 {
     std::vector<RouteLoad> loads;
--- a/mesh/requestcost.h
+++ b/mesh/requestcost.h
@@ -52,6 +52,8 @@
     void restart(TimePoint now);
 
     std::vector<RouteLoad> loads(TimePoint now) const;
+    // The mean service time of the route's requests; zero if none has been measured.
+    Duration serviceTimeOf(Endpoint route) const;
 
 private:
     static constexpr std::chrono::milliseconds rateTimeConstant{ 2000 };
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -1,5 +1,7 @@
 #include "mesh/serverflows.h"
 
+#include <utility>
+
 namespace cactusdeck::mesh {
 
 namespace {
@@ -107,8 +109,11 @@
     this->serviceStarts.clear();
     this->routeCosts.restart(now);
     for (auto &[key, flow] : this->flows) {
-        if (flow.isInProgress)
-            this->beginRequest(flow, now);
+        if (!flow.isInProgress)
+            continue;
+        this->beginRequest(flow, now);
+        if (std::exchange(flow.isAtServer, false))
+            this->onSent(flow, now);
     }
 }
 
@@ -150,10 +155,17 @@
 void ServerFlows::beginRequest(ServerFlow &flow, TimePoint now)
 {
     flow.inProgressBefore = this->serverLoad.onRequest(now);
-    flow.request = this->serviceStarts.onRequest(this->slotCount, now);
     this->routeCosts.onRequest(flow.route, now);
 }
 
+void ServerFlows::onSent(ServerFlow &flow, TimePoint now)
+{
+    if (!flow.isInProgress || flow.isAtServer)
+        return;
+    flow.isAtServer = true;
+    flow.request = this->serviceStarts.onRequest(this->slotCount, now);
+}
+
 void ServerFlows::onCaller(ServerFlow &flow, const Segment &segment, TimePoint now)
 {
     flow.lastActive = now;
@@ -171,6 +183,7 @@
         flow.callerNext = dataEnd;
         if (!flow.isInProgress && !flow.hasEnded) {
             flow.isInProgress = true;
+            flow.isAtServer = false;
             flow.requestedAt = now;
             this->beginRequest(flow, now);
         }
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -34,6 +34,7 @@
     bool hasCallerData = false; // callerNext is known from a packet of the caller
     bool isFresh = true; // the first request has not arrived yet
     bool isInProgress = false; // a request waits for the first byte of its response
+    bool isAtServer = false; // the server has got this request; else the agent holds it
     std::optional<std::uint32_t> openingSequence; // unknown for an adopted flow
     // The server's initial sequence number; for an adopted flow, a number below all of the
     // server's.
@@ -89,6 +90,8 @@
     void forEachOpen(const std::function<void(const FlowKey &, const ServerFlow &)> &visit) const;
 
     void onCaller(ServerFlow &flow, const Segment &segment, TimePoint now);
+    // The flow's request goes to the server.
+    void onSent(ServerFlow &flow, TimePoint now);
     void onServer(ServerFlow &flow, const Segment &segment, std::uint32_t slots, TimePoint now);
     // Removes flows that have been idle for longer than the time-out or ended a while ago.
     void expire(std::chrono::milliseconds idleTimeout, TimePoint now);
--- a/meshd/metricstext.cpp
+++ b/meshd/metricstext.cpp
@@ -30,6 +30,9 @@
     NamedCounter<BalancerCounters>{ "flow_searches_found_total", &BalancerCounters::searchesFound },
     NamedCounter<BalancerCounters>{ "flow_searches_expired_total",
                                     &BalancerCounters::searchesExpired },
+    NamedCounter<BalancerCounters>{ "agent_list_checks_total", &BalancerCounters::listChecks },
+    NamedCounter<BalancerCounters>{ "agent_list_checks_failed_total",
+                                    &BalancerCounters::listChecksFailed },
     NamedCounter<BalancerCounters>{ "resets_no_route_total", &BalancerCounters::resetNoRoute },
     NamedCounter<BalancerCounters>{ "resets_no_server_total", &BalancerCounters::resetNoServer },
     NamedCounter<BalancerCounters>{ "resets_ended_total", &BalancerCounters::resetEnded },
@@ -55,6 +58,7 @@
                                  &AgentCounters::droppedEvacuated },
     NamedCounter<AgentCounters>{ "packets_dropped_earlier_flow_total",
                                  &AgentCounters::droppedEarlierFlow },
+    NamedCounter<AgentCounters>{ "flows_unservable_total", &AgentCounters::unservable },
     NamedCounter<AgentCounters>{ "malformed_total", &AgentCounters::malformed },
     NamedCounter<AgentCounters>{ "heartbeats_total", &AgentCounters::heartbeats },
     NamedCounter<AgentCounters>{ "heartbeats_stale_total", &AgentCounters::staleHeartbeats },
@@ -148,6 +152,16 @@
     text.add("answer_seconds", agent.answerTimes());
     text.add("opening_seconds", agent.openingTimes());
     text.add("service_time_seconds", seconds(agent.load().serviceTime()));
+    text.add("requests_held_total", agent.requests().held());
+    text.add("requests_expired_total", agent.requests().expired());
+    text.add("requests_waiting", agent.requests().waiting());
+    text.add("requests_at_server", agent.requests().atServer());
+    for (const mesh::RouteLoad &load : agent.costs().loads(now)) {
+        const std::string labels = "{route=\"" + toString(load.route) + "\"}";
+        text.add(("route_flows" + labels).c_str(), load.flows);
+        text.add(("route_requests_per_second" + labels).c_str(), load.requestsPerSecond);
+        text.add(("route_service_time_seconds" + labels).c_str(), seconds(load.serviceTime));
+    }
     text.add(log);
     return std::move(text.text);
 }
