Don't wait for agents that came back without their server and went again

Ruled out: agents that missed their server's first heartbeat: 52 of 53 heard it. Forgetting silent agents sooner: one that has heard its server may be cut off with living flows.

Change: an agent that has never heard its server, and leaves questions unanswered for 0.3 s or reports out, owns no flows; such agents are asked directly, and not listed to other balancers. Balancers list to each other only agents that they heard themselves. No flow is declared lost in the first 0.5 s instead of 0.8 s of a balancer, since the check of the list now covers what its peers know.

--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -73,11 +73,27 @@
     return hasMissing;
 }
 
-std::uint64_t AgentDirectory::digest() const
+bool AgentDirectory::mayBeAbandoned(const Agent &agent, TimePoint now) const
 {
-    std::uint64_t digest = 0;
+    return agent.hasReported() && agent.report.phase == ServerPhase::Unknown
+           && now - agent.heard > abandonedCheckTime && agent.unanswered <= unansweredLimit;
+}
+
+std::vector<Endpoint> AgentDirectory::heardOwners(TimePoint now) const
+{
+    std::vector<Endpoint> result;
     for (const AgentIndex index : this->possibleOwners()) {
-        const Endpoint endpoint = this->agents[index].endpoint;
+        const Agent &agent = this->agents[index];
+        if (agent.hasReported() && !this->isAbandoned(agent, now))
+            result.push_back(agent.endpoint);
+    }
+    return result;
+}
+
+std::uint64_t AgentDirectory::digest(TimePoint now) const
+{
+    std::uint64_t digest = 0;
+    for (const Endpoint endpoint : this->heardOwners(now)) {
         const std::uint64_t value = (std::uint64_t(endpoint.address) << 16) | endpoint.port;
         digest ^= XXH3_64bits(&value, sizeof value);
     }
@@ -125,6 +141,12 @@
     Agent &agent = this->agents[index];
     agent.placed += 1;
     agent.placedWork += work;
+    this->onAsked(index, now);
+}
+
+void AgentDirectory::onAsked(AgentIndex index, TimePoint now)
+{
+    Agent &agent = this->agents[index];
     if (agent.unanswered++ == 0)
         agent.unansweredSince = now;
 }
@@ -150,11 +172,20 @@
 
 bool AgentDirectory::isResponding(const Agent &agent, TimePoint now) const
 {
-    const Duration limit = silenceLimit(agent);
-    const bool isIgnoring = agent.unanswered >= unansweredLimit
-                            && now - agent.unansweredSince > unansweredTime
-                            && agent.heard < agent.unansweredSince;
-    return agent.isPresent && now - agent.heard <= limit && !isIgnoring;
+    return agent.isPresent && now - agent.heard <= silenceLimit(agent)
+           && !isIgnoring(agent, unansweredTime, now);
+}
+
+bool AgentDirectory::isIgnoring(const Agent &agent, Duration time, TimePoint now)
+{
+    return agent.unanswered >= unansweredLimit && now - agent.unansweredSince > time
+           && agent.heard < agent.unansweredSince;
+}
+
+bool AgentDirectory::isAbandoned(const Agent &agent, TimePoint now) const
+{
+    return agent.hasReported() && agent.report.phase == ServerPhase::Unknown
+           && (now - agent.heard > silenceLimit(agent) || isIgnoring(agent, abandonedTime, now));
 }
 
 OwnerState AgentDirectory::ownerState(AgentIndex index, std::uint8_t generation) const
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -55,7 +55,8 @@
         bool hasLostGeneration = false;
         double placed = 0; // flows placed here since the agent's last report
         Duration placedWork{}; // of the first requests of these flows
-        std::uint32_t unanswered = 0; // opening packets sent since the agent was last heard
+        // Opening packets and questions sent since the agent was last heard.
+        std::uint32_t unanswered = 0;
         TimePoint unansweredSince;
 
         // False if the agent is known only from another balancer.
@@ -75,6 +76,8 @@
     void onHeard(Endpoint from, TimePoint now);
     // work: what the flow's first request is expected to take at the agent's server.
     void onPlaced(AgentIndex agent, TimePoint now, Duration work = {});
+    // A question was sent to the agent.
+    void onAsked(AgentIndex agent, TimePoint now);
     void forgetSilent(TimePoint now);
 
     struct Candidate
@@ -104,12 +107,21 @@
                   std::uint64_t tieBreak, TimePoint now);
     // Adds agents that another balancer knows now. Returns true if this balancer lacked any.
     bool addMissing(const std::vector<Endpoint> &known, TimePoint now);
-    // The same for all balancers that know the same agents.
-    std::uint64_t digest() const;
+    // The agents that this balancer has heard and that may own flows, as told to other balancers.
+    // Those that it knows only from others are not among them, so that nobody remembers an agent
+    // for ever that has gone.
+    std::vector<Endpoint> heardOwners(TimePoint now) const;
+    // The same for all balancers that have heard the same agents.
+    std::uint64_t digest(TimePoint now) const;
     // All agents that may own flows.
     std::vector<AgentIndex> possibleOwners() const;
     OwnerState ownerState(AgentIndex agent, std::uint8_t generation) const;
     bool isResponding(const Agent &agent, TimePoint now) const;
+    // True for an agent that has not heard its server since it started, and that does not answer:
+    // its machine has come back without the server, and has gone again. It owns no flows.
+    bool isAbandoned(const Agent &agent, TimePoint now) const;
+    // True if the agent should be asked, so that isAbandoned becomes known.
+    bool mayBeAbandoned(const Agent &agent, TimePoint now) const;
 
     const Agent &at(AgentIndex agent) const { return this->agents[agent]; }
     std::optional<AgentIndex> find(Endpoint endpoint) const;
@@ -123,9 +135,13 @@
     // silent, are removed. An agent that was cut off may report again later; then its flows are
     // found again.
     static constexpr std::chrono::seconds forgetTimeout{ 20 };
-    // An agent that has left two opening packets unanswered for this time counts as stopped.
+    // An agent that has left two messages unanswered for this time counts as stopped.
     static constexpr std::uint32_t unansweredLimit = 2;
     static constexpr std::chrono::milliseconds unansweredTime{ 150 };
+    // An agent that has not heard its server counts as abandoned after this time.
+    static constexpr std::chrono::milliseconds abandonedTime{ 300 };
+    // Such an agent is asked if it has not been heard for this time.
+    static constexpr std::chrono::milliseconds abandonedCheckTime{ 500 };
     // Used until there are measurements. Wrong values do no harm while they apply to all servers.
     static constexpr std::chrono::milliseconds assumedServiceTime{ 30 };
     static constexpr double assumedRequestsPerFlow = 1; // per second
@@ -167,6 +183,7 @@
     };
 
     static Duration silenceLimit(const Agent &agent);
+    static bool isIgnoring(const Agent &agent, Duration time, TimePoint now);
     // Returns false if there is no index left for another endpoint.
     bool insert(Endpoint endpoint);
     ServiceMeans meansOf(const ServiceName &service) const;
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -58,7 +58,7 @@
             return;
         }
         if (message && std::holds_alternative<AgentListQuery>(*message)) {
-            this->onListQuery(std::get<AgentListQuery>(*message), from, sink);
+            this->onListQuery(std::get<AgentListQuery>(*message), from, now, sink);
             return;
         }
         if (message && std::holds_alternative<AgentListAnswer>(*message)) {
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -143,10 +143,10 @@
     // Agents and peers answer a new balancer within a second; until then it knows only some of
     // them.
     static constexpr std::chrono::milliseconds settleTime{ 1200 };
-    // Time after the start by which a balancer has heard of every agent. Only then may it declare a
-    // flow lost. Peers list the agents that they know when a new balancer fetches their state. If
-    // all balancers are new, agents report every 100 ms until they hear one.
-    static constexpr std::chrono::milliseconds agentDiscoveryTime{ 800 };
+    // Time after the start before which a balancer declares no flow lost. If all balancers are new,
+    // agents that start with them report every 100 ms until they hear one, and nodes that lost
+    // their power together start within 0.3 s.
+    static constexpr std::chrono::milliseconds agentDiscoveryTime{ 500 };
     // A new balancer places no flows before this time, unless all agents that a peer has listed
     // have reported. Otherwise the first agent to report would get every flow. Running agents
     // report within 150 ms.
@@ -239,7 +239,7 @@
     // Ends the search. The flow is reset if it is certain that it is lost.
     void declareLost(std::uint64_t flowHash, bool isCertain, Sink &sink);
     void beginListCheck(TimePoint now, Sink &sink);
-    void onListQuery(const AgentListQuery &query, Endpoint from, Sink &sink);
+    void onListQuery(const AgentListQuery &query, Endpoint from, TimePoint now, Sink &sink);
     void onListAnswer(const AgentListAnswer &answer, Endpoint from, TimePoint now, Sink &sink);
     void onListChecked(AgentListCheck::Outcome outcome, TimePoint now, Sink &sink);
     // Asks again for the flow, after agents were added to the list.
--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -177,8 +177,10 @@
 std::vector<std::uint8_t> Balancer::encodeState(TimePoint now) const
 {
     std::vector<Endpoint> agents;
-    for (const AgentIndex agent : this->directory.possibleOwners())
-        agents.push_back(this->directory.at(agent).endpoint);
+    for (const AgentIndex agent : this->directory.possibleOwners()) {
+        if (!this->directory.isAbandoned(this->directory.at(agent), now))
+            agents.push_back(this->directory.at(agent).endpoint);
+    }
     nlohmann::json document = nlohmann::json::array();
     document.push_back(nlohmann::json::binary(this->fleet.encode(now)));
     document.push_back(nlohmann::json::binary(encodeEndpoints(agents)));
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -46,8 +46,10 @@
     }
     ++this->counts.searches;
     search->hold(segment.bytes);
-    for (const AgentIndex agent : sends.questions)
+    for (const AgentIndex agent : sends.questions) {
+        this->directory.onAsked(agent, now);
         this->ask(agent, segment, sink);
+    }
     this->sendChains(segment, sends.chains, sink);
     this->applySearchStage(hashOf(segment.key), search->stage(), now, sink);
 }
@@ -76,6 +78,11 @@
         const AgentDirectory::Agent &entry = this->directory.at(agent);
         const bool isRuledOut = entry.report.knowsAllFlows && !entry.report.holdings.test(bucket);
         const bool isAskedAnyway = isAskingHome && this->isHome(entry);
+        if (this->directory.isAbandoned(entry, now))
+            continue;
+        // Of an agent in a chain it is not known whether it is the one that does not answer.
+        if (this->directory.mayBeAbandoned(entry, now))
+            sends.questions.push_back(agent);
         if (!this->directory.isResponding(entry, now)) {
             plan.isComplete = false;
             if (isAskedAnyway || !isRuledOut)
@@ -280,20 +287,18 @@
     }
     ++this->counts.listChecks;
     const std::vector<std::uint8_t> bytes = encode(AgentListQuery{
-            .round = this->listCheck.begin(live, now), .digest = this->directory.digest() });
+            .round = this->listCheck.begin(live, now), .digest = this->directory.digest(now) });
     for (const Endpoint &peer : live) {
         this->sent.add(MessageKind::Hello, this->peers.isHome(peer), bytes.size());
         sink.toNode(peer, bytes, {});
     }
 }
 
-void Balancer::onListQuery(const AgentListQuery &query, Endpoint from, Sink &sink)
+void Balancer::onListQuery(const AgentListQuery &query, Endpoint from, TimePoint now, Sink &sink)
 {
     AgentListAnswer answer{ .round = query.round };
-    if (query.digest != this->directory.digest()) {
-        for (const AgentIndex agent : this->directory.possibleOwners())
-            answer.agents.push_back(this->directory.at(agent).endpoint);
-    }
+    if (query.digest != this->directory.digest(now))
+        answer.agents = this->directory.heardOwners(now);
     const std::vector<std::uint8_t> bytes = encode(answer);
     this->sent.add(MessageKind::Hello, this->peers.isHome(from), bytes.size());
     sink.toNode(from, bytes, {});
--- a/mesh/recovery_test.cpp
+++ b/mesh/recovery_test.cpp
@@ -66,6 +66,36 @@
         BOOST_TEST(this->world.resetsTo(callerOf(port)) == 1u);
 }
 
+// Agents of servers that were taken away come back with their machines, without a server, and go
+// again.
+BOOST_AUTO_TEST_CASE(agentsWithoutServersDoNotKeepCallersWaiting)
+{
+    this->world.addAgent("a4", "zone-a", "booking");
+    this->world.addAgent("a5", "zone-b", "booking");
+    this->world.run(1s);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(port), booking).empty());
+    for (const char *agent : { "a4", "a5" })
+        this->world.agent(agent).sendsHeartbeats = false;
+    this->losePower();
+    for (const char *agent : { "a4", "a5" }) {
+        this->world.agent(agent).server.isUp = false;
+        this->world.agent(agent).server.timesOutWhenDown = true;
+        this->world.restartAgent(agent);
+    }
+    this->world.run(500ms);
+    for (const char *agent : { "a4", "a5" })
+        this->world.agent(agent).isUp = false;
+    this->world.run(1500ms);
+    for (int i = 0; i < 4; ++i) {
+        for (std::uint16_t port = 1; port <= 20; ++port)
+            this->world.request("b1", callerOf(port), booking, 5ms);
+        this->world.run(100ms);
+    }
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) > 0u);
+}
+
 // Only the processes of the fleet are killed; the servers and their flows live.
 BOOST_AUTO_TEST_CASE(flowsOfBeforeAKillOfAllProcessesAreFound)
 {
