Read the directory when no balancer is heard, also if agents are

Ruled out: peers that keep a leaving balancer in mind: it may come back elsewhere.

Change: the directory is read after 1.5 s without any balancer, with the backoff as before (10 s at most, at a tenth of a call's price).

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -186,10 +186,9 @@
 
 bool Balancer::needsDirectory(TimePoint now) const
 {
-    // Agents contact balancers too, so a balancer that knows agents is part of the mesh.
-    const bool hearsAgents = !this->directory.possibleOwners().empty();
-    return !hearsAgents
-           && now - std::max(this->startedAt, this->peers.lastHeard()) > directoryDelay;
+    // A balancer that hears only agents may be unknown to the other balancers, and to the agents that
+    // start later.
+    return now - std::max(this->startedAt, this->peers.lastHeard()) > directoryDelay;
 }
 
 TimePoint Balancer::nextTimer() const
