Keep the former targets of routes in the store

Ruled out: a read of the record at each start (a peer's state has it already); writes by every reader (three calls for each change). A change in planSearch alone was not enough: the agents of the own domain are asked anyway, answer that they are unsure, and left the search incomplete in startProbing.

Change: a record in the store (cactusdeck-targets/main) has the targets of each address and the former ones. TargetRecorder decides without I/O who reads and writes it; the writes are conditional. A flag in hellos and in the state tells that the former targets are known; a balancer without it fetches the state of a peer that has it, also if it has read the store before it heard a peer. With the flag, a search rules out agents of services that the address never had. A peer's older configuration now yields former targets too.

After a kill of all processes, packets to a dropped route's address are now dropped, as by balancers that saw the change.

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -14,6 +14,21 @@
     return text;
 }
 
+const char *nameOf(TargetOutcome::Kind kind)
+{
+    switch (kind) {
+    case TargetOutcome::Kind::Written:
+        return "written";
+    case TargetOutcome::Kind::Found:
+        return "found";
+    case TargetOutcome::Kind::Missing:
+        return "missing";
+    case TargetOutcome::Kind::Failed:
+        break;
+    }
+    return "failed";
+}
+
 } // namespace
 
 Balancer::Balancer(BalancerOptions balancerOptions)
@@ -156,6 +171,27 @@
         this->sendHellos(HelloScope::Everyone, false, now, sink);
 }
 
+std::optional<TargetCall> Balancer::takeTargetCall(TimePoint now)
+{
+    if (!this->storeReader.isActive() || !this->storeReader.isReachable())
+        return std::nullopt;
+    return this->targetRecorder.takeCall(this->fleet, this->readerRank, now);
+}
+
+void Balancer::onTargetOutcome(const TargetOutcome &outcome, TimePoint now, Sink &sink)
+{
+    const bool isNews = this->targetRecorder.onOutcome(outcome, this->fleet, now);
+    const bool isFailure = outcome.kind == TargetOutcome::Kind::Failed;
+    sink.log(isFailure ? Level::Warning : Level::Info, "target_record",
+             { { "outcome", nameOf(outcome.kind) },
+               { "revision", std::to_string(outcome.revision) },
+               { "record_version", std::to_string(outcome.record.version) },
+               { "configuration", std::to_string(this->fleet.configurationVersion()) },
+               { "former_known", this->fleet.knowsFormerTargets() ? "yes" : "no" } });
+    if (isNews)
+        this->sendHellos(HelloScope::Everyone, false, now, sink);
+}
+
 void Balancer::onStateChanged(const char *source, TimePoint now, Sink &sink)
 {
     ++this->counts.stateChanges;
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -17,6 +17,7 @@
 #include "mesh/segment.h"
 #include "mesh/sink.h"
 #include "mesh/statereader.h"
+#include "mesh/targetrecorder.h"
 #include "mesh/traffic.h"
 
 // A balancer gets the callers' packets from the fabric. It places new flows on agents and forwards
@@ -29,6 +30,7 @@
 //     balancer.onDatagram(bytes, from, now, sink);    // frames and messages of other nodes
 //     balancer.onTimer(now, sink);                    // at nextTimer()
 //     for (const StoreQuery &query : balancer.takeQueries(now)) ...
+//     if (const auto call = balancer.takeTargetCall(now)) ... // read or write the target record
 //     if (const auto peer = balancer.takeFetch()) ... // fetch the peer's state
 //
 // The class does no I/O and reads no clock. Times passed in must not decrease.
@@ -86,6 +88,9 @@
 
     std::vector<StoreQuery> takeQueries(TimePoint now);
     void onStoreResult(const StoreResult &result, TimePoint now, Sink &sink);
+    // Returns the call to make for the record of the routes' targets, if there is one.
+    std::optional<TargetCall> takeTargetCall(TimePoint now);
+    void onTargetOutcome(const TargetOutcome &outcome, TimePoint now, Sink &sink);
     // Returns a peer whose state is newer and should be fetched, if there is one.
     std::optional<Endpoint> takeFetch();
     void onFetched(Endpoint peer, std::span<const std::uint8_t> state, TimePoint now, Sink &sink);
@@ -196,6 +201,7 @@
         bool isNew = false;
         ConfigurationVersion configuration = 0;
         StorePosition evacuationsAsOf;
+        bool knowsFormerTargets = false;
     };
 
     enum class HelloScope : std::uint8_t {
@@ -295,7 +301,8 @@
     bool hasNewerState(Endpoint peer) const;
     bool isNew(TimePoint now) const { return now - this->startedAt < settleTime; }
     void chooseReaders(TimePoint now, Sink &sink);
-    bool isChosenReader(TimePoint now) const;
+    // Among the readers of the store; 0 is the best. Not stated if this is none of them.
+    std::optional<std::size_t> rankAsReader(TimePoint now) const;
     // Time in which each of the recipients gets one of the regular hellos.
     static std::chrono::milliseconds intervalFor(std::size_t recipients, std::size_t hellos);
     // All nodes compute the same rank for a balancer.
@@ -318,6 +325,8 @@
     std::map<std::uint64_t, ProbeCount> probed; // by flow hash
     TokenBucket questions{ questionsPerSecond, questionBurst };
     StateReader storeReader;
+    std::optional<std::size_t> readerRank; // as of the last choice of readers
+    TargetRecorder targetRecorder;
     BalancerCounters counts;
     Traffic sent;
     std::vector<StartupPacket> startupPackets;
--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -54,7 +54,8 @@
              .isReader = hello.isReader,
              .isNew = hello.isSenderNew,
              .configuration = hello.configuration,
-             .evacuationsAsOf = hello.evacuationsAsOf };
+             .evacuationsAsOf = hello.evacuationsAsOf,
+             .knowsFormerTargets = hello.knowsFormerTargets };
     // A new balancer needs reports of all agents soon. The agents learn of it by the next notices;
     // the store readers, which are few, tell them at once, unless many balancers start together.
     if (hasJustStarted) {
@@ -131,6 +132,7 @@
     PeerState &fetched = this->peerStates[peer];
     fetched.configuration = decoded->configurationVersion();
     fetched.evacuationsAsOf = decoded->evacuationsAsOf();
+    fetched.knowsFormerTargets = decoded->knowsFormerTargets();
     if (this->fleet.adopt(*decoded, now))
         this->onStateChanged("peer", now, sink);
     this->chooseFetch(now);
@@ -141,7 +143,8 @@
     const auto it = this->peerStates.find(peer);
     return it != this->peerStates.end()
            && (it->second.configuration > this->fleet.configurationVersion()
-               || it->second.evacuationsAsOf > this->fleet.evacuationsAsOf());
+               || it->second.evacuationsAsOf > this->fleet.evacuationsAsOf()
+               || (it->second.knowsFormerTargets && !this->fleet.knowsFormerTargets()));
 }
 
 void Balancer::chooseFetch(TimePoint now)
@@ -195,6 +198,7 @@
     if (const auto it = this->peerStates.find(peer); it != this->peerStates.end()) {
         it->second.configuration = 0;
         it->second.evacuationsAsOf = {};
+        it->second.knowsFormerTargets = false;
     }
     this->chooseFetch(now);
 }
@@ -231,7 +235,8 @@
                      isReader ? std::max(readerInterval, this->homeInterval / contactsPerInterval)
                      : isHome ? this->homeInterval
                               : this->remoteInterval,
-             .contacts = isHome ? this->contacts : this->readerContacts };
+             .contacts = isHome ? this->contacts : this->readerContacts,
+             .knowsFormerTargets = this->fleet.knowsFormerTargets() };
 }
 
 void Balancer::sendHello(Endpoint to, bool wantsAnswer, TimePoint now, Sink &sink)
@@ -304,20 +309,22 @@
 void Balancer::chooseReaders(TimePoint now, Sink &sink)
 {
     const bool wasActive = this->storeReader.isActive();
-    const bool isChosen = this->isChosenReader(now);
+    this->readerRank = this->rankAsReader(now);
+    const bool isChosen = this->readerRank.has_value();
     this->storeReader.setActive(isChosen, now);
     if (isChosen != wasActive && !this->isStopping)
         this->sendHellos(HelloScope::Everyone, false, now, sink);
 }
 
-bool Balancer::isChosenReader(TimePoint now) const
+std::optional<std::size_t> Balancer::rankAsReader(TimePoint now) const
 {
     if (this->isStopping)
-        return false;
+        return std::nullopt;
     const std::vector<Endpoint> live = this->peers.live(now);
     // A balancer that has just started and heard no peer yet does not read the store for a moment.
     if (live.empty())
-        return now - this->startedAt >= firstStateDelay;
+        return now - this->startedAt >= firstStateDelay ? std::optional<std::size_t>(0)
+                                                        : std::nullopt;
     // Balancers that cannot reach the store rank after those that can.
     using Rank = std::tuple<bool, std::uint64_t>;
     const bool isReachable =
@@ -334,8 +341,8 @@
     }
     // A new balancer does not know all peers yet, so its rank is worth little.
     if (this->isNew(now) && hasReader && !this->storeReader.isActive())
-        return false;
-    return before < maxStoreReaders;
+        return std::nullopt;
+    return before < maxStoreReaders ? std::optional(before) : std::nullopt;
 }
 
 } // namespace cactusdeck::mesh
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -100,7 +100,8 @@
                 plan.isComplete = false;
                 plan.mayBeAbandoned = true;
             }
-        } else {
+        } else if (!this->fleet.knowsFormerTargets()) {
+            // The agent's service may have been a target of the address.
             plan.isComplete = false;
         }
     }
@@ -201,9 +202,12 @@
     if (!segment)
         return;
     std::vector<AgentIndex> agents;
-    for (const AgentIndex agent : search.unsure()) {
+    const std::vector<AgentIndex> unsure = search.unsure();
+    for (const AgentIndex agent : unsure) {
         if (this->mayHold(segment->key, agent))
             agents.push_back(agent);
+        else if (this->fleet.knowsFormerTargets())
+            search.ruleOut(agent);
     }
     this->counts.probes += agents.size();
     for (const AgentIndex agent : agents)
--- a/mesh/fleetstate.cpp
+++ b/mesh/fleetstate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -84,19 +85,51 @@
 {
     if (configuration == nullptr || configuration->version <= this->configurationVersion())
         return false;
-    if (this->routes != nullptr) {
-        for (const auto &[address, route] : this->routes->routes) {
-            const auto next = configuration->routes.find(address);
-            for (const WeightedService &target : route.targets) {
-                if (next == configuration->routes.end() || !next->second.hasTarget(target.service))
-                    this->formerTargets[address].insert(target.service);
-            }
-        }
+    const ConfigurationPointer previous = std::exchange(this->routes, std::move(configuration));
+    ++this->targetChangeCount;
+    if (previous != nullptr) {
+        for (const auto &[address, services] : targetsOf(*previous))
+            this->noteTargets(address, services);
     }
-    this->routes = std::move(configuration);
     return true;
 }
 
+TargetsByAddress FleetState::targetsOf(const FleetConfiguration &configuration)
+{
+    TargetsByAddress targets;
+    for (const auto &[address, route] : configuration.routes) {
+        for (const WeightedService &target : route.targets)
+            targets[address].insert(target.service);
+    }
+    return targets;
+}
+
+void FleetState::noteTargets(Endpoint address, const std::set<ServiceName> &services)
+{
+    for (const ServiceName &service : services) {
+        if (!this->mayServe(address, service)) {
+            this->formerTargets[address].insert(service);
+            ++this->targetChangeCount;
+        }
+    }
+}
+
+void FleetState::adoptTargets(const TargetRecord &record)
+{
+    for (const TargetsByAddress *targets : { &record.former, &record.current }) {
+        for (const auto &[address, services] : *targets)
+            this->noteTargets(address, services);
+    }
+    this->hasFormerTargets = true;
+}
+
+TargetRecord FleetState::targetRecord() const
+{
+    return { .version = this->configurationVersion(),
+             .current = this->routes == nullptr ? TargetsByAddress{} : targetsOf(*this->routes),
+             .former = this->formerTargets };
+}
+
 bool FleetState::wasDropped(Endpoint address) const
 {
     return this->formerTargets.contains(address)
@@ -175,7 +208,12 @@
         this->adoptHeld(other);
     // Merge the targets of earlier configurations, since open flows may date from them.
     for (const auto &[address, services] : other.formerTargets)
-        this->formerTargets[address].insert(services.begin(), services.end());
+        this->noteTargets(address, services);
+    if (other.routes != nullptr && other.configurationVersion() < this->configurationVersion()) {
+        for (const auto &[address, services] : targetsOf(*other.routes))
+            this->noteTargets(address, services);
+    }
+    this->hasFormerTargets |= other.hasFormerTargets;
     return isConfigurationNew || areZonesNew;
 }
 
@@ -191,7 +229,8 @@
 {
     json document = { { "zonesEra", this->zonesAsOf.era },
                       { "zonesRevision", this->zonesAsOf.revision },
-                      { "zones", json::array() } };
+                      { "zones", json::array() },
+                      { "formerKnown", this->hasFormerTargets } };
     for (const ZoneName &zone : this->zones)
         document["zones"].push_back(zone);
     document["held"] = json::array();
@@ -224,6 +263,8 @@
         }
         for (const json &entry : document.at("former"))
             entry.at(1).get_to(state.formerTargets[entry.at(0).get<Endpoint>()]);
+        // Nodes of an earlier release do not state it.
+        state.hasFormerTargets = document.value("formerKnown", false);
         if (document.contains("configuration"))
             state.routes = configurationFrom(document.at("configuration"));
         return state;
--- a/mesh/fleetstate.h
+++ b/mesh/fleetstate.h
@@ -22,6 +22,9 @@
 // A store that has just been restored may lack evacuations which it had acknowledged. They stay in
 // force for restoreGrace, in which operators write them again.
 //
+// Open flows may be at services that are no longer targets of their routes. These former targets
+// are known if the record of them was read or written, or if a peer that knows them was adopted.
+//
 //     FleetState state;
 //     if (state.adoptConfiguration(configuration))
 //         sendToPeers(state.encode(now));
@@ -77,6 +80,16 @@
     std::chrono::milliseconds idleTimeout{ 0 };
 };
 
+using TargetsByAddress = std::map<Endpoint, std::set<ServiceName>>;
+
+// What the fleet keeps in the store of the targets of its routes.
+struct TargetRecord
+{
+    ConfigurationVersion version = 0; // that it was written for
+    TargetsByAddress current; // as of the version
+    TargetsByAddress former; // targets of earlier versions
+};
+
 using ConfigurationPointer = std::shared_ptr<const FleetConfiguration>;
 
 class FleetState
@@ -110,6 +123,15 @@
     // True if the service is a target of the address in the current or an earlier configuration.
     bool mayServe(Endpoint address, const ServiceName &service) const;
 
+    // True if a service that mayServe() denies has never been a target of the address.
+    bool knowsFormerTargets() const { return this->hasFormerTargets; }
+    void setFormerTargetsKnown() { this->hasFormerTargets = true; }
+    // Targets in the record that the current configuration lacks are former targets.
+    void adoptTargets(const TargetRecord &record);
+    TargetRecord targetRecord() const;
+    // Increases whenever targetRecord() may have changed.
+    std::uint64_t targetChanges() const { return this->targetChangeCount; }
+
     // CBOR, for the transfer between nodes. Held evacuations are transferred as the time left,
     // since the nodes' clocks differ.
     std::vector<std::uint8_t> encode(TimePoint now) const;
@@ -118,12 +140,17 @@
 private:
     // Holds what the other state holds too.
     void adoptHeld(const FleetState &other);
+    // Former are those that the current configuration lacks.
+    void noteTargets(Endpoint address, const std::set<ServiceName> &services);
+    static TargetsByAddress targetsOf(const FleetConfiguration &configuration);
 
     ConfigurationPointer routes; // null until a configuration is known
     std::set<ZoneName> zones;
     StorePosition zonesAsOf; // revision 0: nothing known
     std::map<ZoneName, TimePoint> heldUntil; // by zones that are not in the list
-    std::map<Endpoint, std::set<ServiceName>> formerTargets; // targets of earlier configurations
+    TargetsByAddress formerTargets; // targets of earlier configurations
+    bool hasFormerTargets = false; // of all configurations that flows may date from
+    std::uint64_t targetChangeCount = 0;
 };
 
 } // namespace cactusdeck::mesh
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -61,6 +61,8 @@
     void hold(std::span<const std::uint8_t> packet);
     // Returns the stage after the answer. Answers of agents that were not asked are ignored.
     SearchStage onAnswer(AgentIndex agent, SearchAnswer answer);
+    // An agent that is unsure cannot have the flow.
+    void ruleOut(AgentIndex agent) { std::erase(this->unsureAgents, agent); }
     // Begins the probing stage; agents are those whose servers get the packet.
     void startProbing(std::vector<AgentIndex> agents, TimePoint now);
     // The packet was sent along chains of the unconfirmed agents, which end with these agents.
--- a/mesh/meshworld_test.cpp
+++ b/mesh/meshworld_test.cpp
@@ -383,6 +383,32 @@
     }
 }
 
+void World::callForTargets(BalancerNode &node)
+{
+    while (const auto call = node.balancer->takeTargetCall(this->now)) {
+        ++this->targetCalls;
+        node.balancer->onTargetOutcome(this->outcomeOf(*call, node.hasStore), this->now,
+                                       *node.sink);
+    }
+}
+
+TargetOutcome World::outcomeOf(const TargetCall &call, bool hasStore)
+{
+    using Kind = TargetOutcome::Kind;
+    if (!hasStore || this->isStoreSilent || !this->hasTargetRecord)
+        return {};
+    const Revision found = this->store.targetsRevision;
+    if (call.kind == TargetCall::Kind::Read && found == 0)
+        return { .kind = Kind::Missing };
+    const Revision expected = call.kind == TargetCall::Kind::Replace ? call.revision : 0;
+    if (call.kind == TargetCall::Kind::Read || found != expected)
+        return { .kind = Kind::Found, .revision = found, .record = this->store.targets };
+    this->store.targets = call.record;
+    this->store.targetsRevision = ++this->store.revision;
+    this->recordStore();
+    return { .kind = Kind::Written };
+}
+
 std::optional<StoreResult> World::resultOf(const WaitingQuery &waiting, bool hasStore) const
 {
     const StoreQuery &query = waiting.query;
@@ -457,6 +483,7 @@
         if (this->now >= node->balancer->nextTimer())
             node->balancer->onTimer(this->now, *node->sink);
         this->askStore(name);
+        this->callForTargets(*node);
         this->fetch(name);
     }
     for (auto &[name, node] : this->agents) {
--- a/mesh/meshworld_test.h
+++ b/mesh/meshworld_test.h
@@ -132,6 +132,8 @@
         std::optional<FleetConfiguration> configuration;
         Revision zonesRevision = 1;
         std::set<ZoneName> zones;
+        Revision targetsRevision = 0; // 0: there is no record
+        TargetRecord targets;
     };
     StoreContent copyStore() const { return this->store; }
     // The store starts a new era with the content of an earlier copy. Queries in progress are lost.
@@ -165,6 +167,8 @@
     double loss = 0; // share of the datagrams between nodes that are lost
     // While set, the store never answers queries that are waiting or arrive, not even later.
     bool isStoreSilent = false;
+    bool hasTargetRecord = true; // if unset, calls for the record of targets fail
+    std::size_t targetCalls = 0; // for the record of targets, of all balancers
     // Probes are answered with what the store had this long ago, era included.
     Duration probeAge{ 0 };
 
@@ -208,6 +212,8 @@
     void sendHeartbeat(const std::string &name);
     void checkServer(AgentNode &node);
     void askStore(const std::string &name);
+    void callForTargets(BalancerNode &node);
+    TargetOutcome outcomeOf(const TargetCall &call, bool hasStore);
     void recordStore();
     // Returns nullopt while the query has to wait.
     std::optional<StoreResult> resultOf(const WaitingQuery &waiting, bool hasStore) const;
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -140,7 +140,8 @@
              hello.interval.count(),
              toBytes(hello.balancers),
              contactsToJson(hello.contacts),
-             hello.evacuationsAsOf.era };
+             hello.evacuationsAsOf.era,
+             hello.knowsFormerTargets };
 }
 
 json toJson(const AgentReport &report)
@@ -204,7 +205,8 @@
              .knownBalancers = value.at(10),
              .interval = millisecondsFrom(value.at(11)),
              .balancers = endpointsFrom(value.at(12)),
-             .contacts = contactsFrom(value.at(13)) };
+             .contacts = contactsFrom(value.at(13)),
+             .knowsFormerTargets = value.size() > 15 && value.at(15).get<bool>() };
 }
 
 AgentReport reportFrom(const json &value)
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -39,6 +39,8 @@
     // That are live for the sender; only in an answer to a balancer that knows fewer.
     std::vector<Endpoint> balancers;
     std::vector<PeerSet::Contact> contacts; // some of the live balancers, by turns
+    // Not stated by balancers of an earlier release.
+    bool knowsFormerTargets = false;
 };
 
 enum class ServerPhase : std::uint8_t {
--- a/mesh/recovery_test.cpp
+++ b/mesh/recovery_test.cpp
@@ -27,17 +27,32 @@
         this->world.run(3s);
     }
 
-    // All machines lose their power. The servers start again before their agents, which miss the
-    // first heartbeats.
-    void losePower()
+    // The processes of the fleet are killed and start again without any state.
+    void killAllProcesses()
+    {
+        for (const char *balancer : { "b1", "b2" })
+            this->world.restartBalancer(balancer);
+        for (const char *agent : { "a1", "a2", "a3" })
+            this->world.restartAgent(agent);
+    }
+
+    // The servers of the agents begin anew. The agents miss the first heartbeats.
+    void beginAnew(const std::vector<std::string> &agents)
     {
-        for (const char *agent : { "a1", "a2", "a3" }) {
-            this->world.restartServer(agent, std::string("second-") + agent);
+        for (const std::string &agent : agents) {
+            this->world.restartServer(agent, "second-" + agent);
             Server &server = this->world.agent(agent).server;
             server.upSince = this->world.now;
             server.sequence = 1;
             this->world.agent(agent).nextHeartbeat = this->world.now + 1200ms;
         }
+    }
+
+    // All machines lose their power. The servers start again before their agents, which miss the
+    // first heartbeats.
+    void losePower()
+    {
+        this->beginAnew({ "a1", "a2", "a3" });
         for (const char *balancer : { "b1", "b2" })
             this->world.restartBalancer(balancer);
         this->world.run(60ms);
@@ -101,10 +116,7 @@
 {
     for (std::uint16_t port = 1; port <= 20; ++port)
         BOOST_TEST(!this->world.openFlow("b1", callerOf(port), booking).empty());
-    for (const char *balancer : { "b1", "b2" })
-        this->world.restartBalancer(balancer);
-    for (const char *agent : { "a1", "a2", "a3" })
-        this->world.restartAgent(agent);
+    this->killAllProcesses();
     this->world.run(2s);
     for (std::uint16_t port = 1; port <= 20; ++port) {
         BOOST_TEST(this->world.request("b1", callerOf(port), booking, 100ms));
@@ -112,6 +124,65 @@
     }
 }
 
+// The agent of the other service doesn't know its server's flows, but can't have this one.
+BOOST_AUTO_TEST_CASE(flowsOfServersThatBeganAnewAreResetAfterAKillOfAllProcesses)
+{
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(port), booking).empty());
+    this->beginAnew({ "a1", "a2" });
+    this->killAllProcesses();
+    this->world.run(2s);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.request("b1", callerOf(port), booking, 10ms));
+    this->world.run(1s);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 1u);
+}
+
+// Without the record a service that the route doesn't have may have been a target of it.
+BOOST_AUTO_TEST_CASE(flowsAreNotResetWhileTheFormerTargetsAreNotKnown)
+{
+    BOOST_TEST(!this->world.openFlow("b1", callerOf(1), booking).empty());
+    this->world.hasTargetRecord = false;
+    this->beginAnew({ "a1", "a2" });
+    this->killAllProcesses();
+    this->world.run(2s);
+    BOOST_TEST(!this->world.request("b1", callerOf(1), booking, 1s));
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(!this->world.balancer("b1").balancer->state().knowsFormerTargets());
+}
+
+BOOST_AUTO_TEST_CASE(flowsAtAFormerTargetAreFoundAfterAKillOfAllProcesses)
+{
+    for (std::uint16_t port = 1; port <= 20; ++port)
+        BOOST_TEST(!this->world.openFlow("b1", callerOf(port), booking).empty());
+    this->world.publish(configurationOf({ { booking, "tickets" } }));
+    this->world.run(3s);
+    this->killAllProcesses();
+    this->world.run(2s);
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        BOOST_TEST(this->world.request("b1", callerOf(port), booking, 100ms));
+        BOOST_TEST(this->world.resetsTo(callerOf(port)) == 0u);
+    }
+}
+
+// The store is priced by the call: a write and a look of each reader, and nothing without a change.
+BOOST_AUTO_TEST_CASE(aChangeOfTargetsCostsFewCallsForTheRecord)
+{
+    this->world.addBalancer("b3", "zone-a");
+    this->world.addBalancer("b4", "zone-b");
+    this->world.run(20s);
+    const std::size_t before = this->world.targetCalls;
+    this->world.publish(configurationOf({ { booking, "booking" } }));
+    this->world.run(20s);
+    BOOST_TEST(this->world.targetCalls == before);
+    this->world.publish(configurationOf({ { booking, "tickets" } }));
+    this->world.run(20s);
+    BOOST_TEST(this->world.targetCalls - before == 4u);
+    for (const char *balancer : { "b1", "b2", "b3", "b4" })
+        BOOST_TEST(this->world.balancer(balancer).balancer->state().knowsFormerTargets());
+}
+
 BOOST_AUTO_TEST_CASE(aListIsCompleteOnceEveryBalancerHasAnswered)
 {
     const TimePoint start{ 1h };
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -100,6 +100,8 @@
     {
         for (const mesh::StoreQuery &query : this->balancer.takeQueries(now))
             this->queryStore(query);
+        if (const auto call = this->balancer.takeTargetCall(now))
+            this->callForTargets(*call);
         if (const std::optional<Endpoint> peer = this->balancer.takeFetch())
             this->fetchState(*peer);
         const mesh::StoreEra era = this->balancer.state().evacuationsAsOf().era;
@@ -123,6 +125,34 @@
                         });
     }
 
+    void callForTargets(const mesh::TargetCall &call)
+    {
+        this->loop.call({ .to = this->settings.store,
+                          .method = methodOf(call.kind),
+                          .target = platform::targetRecordTarget(call),
+                          .body = platform::encodeTargetRecord(call),
+                          .timeout = mesh::TargetRecorder::callTimeout },
+                        [this, call](const HttpAnswer &answer, TimePoint now) {
+                            const platform::StoreResponse response{ .status = answer.status,
+                                                                    .body = answer.body };
+                            this->balancer.onTargetOutcome(
+                                    platform::decodeTargetOutcome(call, response), now, this->loop);
+                        });
+    }
+
+    static std::string methodOf(mesh::TargetCall::Kind kind)
+    {
+        switch (kind) {
+        case mesh::TargetCall::Kind::Read:
+            return "GET";
+        case mesh::TargetCall::Kind::Create:
+            return "POST";
+        case mesh::TargetCall::Kind::Replace:
+            break;
+        }
+        return "PUT";
+    }
+
     void fetchState(Endpoint peer)
     {
         this->loop.call(
