Count only packets that were probed everywhere in vain

The chains through the evacuated domain came first in its own balancers.

Change: a packet counts when every chain came back without the flow; agents of evacuated domains are asked after the own domain's.

--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -250,8 +250,9 @@
     void onListChecked(AgentListCheck::Outcome outcome, TimePoint now, Sink &sink);
     // Asks again for the flow, after agents were added to the list.
     void searchAgain(std::uint64_t flowHash, TimePoint now, Sink &sink);
-    // Allows two packets of a flow in a while to be sent to servers that probably don't have it.
-    bool mayProbe(std::uint64_t flowHash, TimePoint now);
+    // True if enough packets of the flow have reached servers that don't have it.
+    bool wasProbedInVain(std::uint64_t flowHash, TimePoint now) const;
+    void countProbe(std::uint64_t flowHash, TimePoint now);
     // Decides which agents to ask about a flow and which are ruled out by their reports.
     SearchPlan planSearch(const FlowKey &key, SearchSends &sends, TimePoint now);
     void planChains(const FlowKey &key, const std::vector<AgentIndex> &agents, SearchPlan &plan,
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -19,7 +19,7 @@
     }
     SearchSends sends;
     const SearchPlan plan = this->planSearch(segment.key, sends, now);
-    if (plan.mayBeAbandoned && !this->mayProbe(flowHash, now)) {
+    if (plan.mayBeAbandoned && this->wasProbedInVain(flowHash, now)) {
         ++this->counts.dropped;
         sink.log(Level::Info, "packet_dropped",
                  { { "flow", toString(segment.key) }, { "reason", "flow_may_be_abandoned" } });
@@ -93,13 +93,12 @@
             plan.asked.push_back(agent);
             sends.questions.push_back(agent);
         } else if (this->mayHold(key, agent)) {
-            (this->isHome(entry) ? chained : plan.unconfirmed).push_back(agent);
+            const bool isEvacuated = this->fleet.isEvacuated(entry.report.zone, now);
+            (this->isHome(entry) && !isEvacuated ? chained : plan.unconfirmed).push_back(agent);
             // Some time after an evacuation, agents of the domain forward packets without
             // consulting their servers, so a chain through them rules nothing out.
-            if (this->fleet.isEvacuated(entry.report.zone, now)) {
-                plan.isComplete = false;
-                plan.mayBeAbandoned = true;
-            }
+            plan.isComplete &= !isEvacuated;
+            plan.mayBeAbandoned |= isEvacuated;
         } else if (!this->fleet.knowsFormerTargets()) {
             // The agent's service may have been a target of the address.
             plan.isComplete = false;
@@ -177,6 +176,8 @@
     } else if (stage == SearchStage::Unresolved) {
         ++this->counts.searchesExpired;
         sink.log(Level::Info, "search_unresolved", { { "flow", toString(search->key()) } });
+        if (search->mayBeAbandoned() && !search->isUnanswered())
+            this->countProbe(flowHash, now);
         this->searches.erase(flowHash);
     }
 }
@@ -346,12 +347,19 @@
     }
 }
 
-bool Balancer::mayProbe(std::uint64_t flowHash, TimePoint now)
+bool Balancer::wasProbedInVain(std::uint64_t flowHash, TimePoint now) const
+{
+    const auto it = this->probed.find(flowHash);
+    return it != this->probed.end() && it->second.packets >= probesPerWindow
+           && now - it->second.since < probeWindow;
+}
+
+void Balancer::countProbe(std::uint64_t flowHash, TimePoint now)
 {
     ProbeCount &count = this->probed[flowHash];
     if (count.packets == 0 || now - count.since >= probeWindow)
         count = { .since = now };
-    return count.packets++ < probesPerWindow;
+    ++count.packets;
 }
 
 } // namespace cactusdeck::mesh
--- a/mesh/flowsearch.cpp
+++ b/mesh/flowsearch.cpp
@@ -74,6 +74,7 @@
 {
     // An agent that did not answer may own the flow. The search can still find the flow, but must
     // not declare it lost.
+    this->hasMissedDeadline = true;
     this->plan.isComplete = false;
     this->plan.asked.clear();
     return this->advance();
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -82,6 +82,9 @@
     TimePoint deadline() const { return this->until; }
     TimePoint begunAt() const { return this->begun; }
     bool isOwnerKnown() const { return this->plan.isOwnerKnown; }
+    bool mayBeAbandoned() const { return this->plan.mayBeAbandoned; }
+    // True if some agents that were asked, or whose servers were, did not answer.
+    bool isUnanswered() const { return this->hasMissedDeadline; }
 
 private:
     // An answer takes one round trip, which is below 10 ms between failure domains of a region.
@@ -99,6 +102,7 @@
     std::vector<AgentIndex> unsureAgents;
     std::vector<std::vector<std::uint8_t>> held;
     SearchStage currentStage = SearchStage::Asking;
+    bool hasMissedDeadline = false;
     TimePoint begun;
     TimePoint until;
 };
