Ask an agent that joins the list during a search

Cause: a search was planned from the list of agents of its beginning, but the check of the list compared a later one. An agent that reported in between was in the list, so all balancers agreed that nothing lacked, and its living flow was reset unasked. The same after an answer that extended the list while another search was still asking.

Ruled out: comparing times; an agent may be added at the time at which the search began.

Change: AgentDirectory counts additions to the possible owners. A search whose plan is older than the last addition is planned again, not declared lost.

Measured: recovery/asksAnAgentThatReportsDuringTheSearch: 1 reset without the change, none with it.

--- a/mesh/agentdirectory.cpp
+++ b/mesh/agentdirectory.cpp
@@ -52,6 +52,7 @@
     Agent &agent = this->agents.back();
     agent.isPresent = true;
     agent.heard = now;
+    ++this->additions;
 }
 
 bool AgentDirectory::addMissing(const std::vector<Endpoint> &known, TimePoint now)
@@ -69,6 +70,7 @@
         Agent &agent = this->agents[this->indices.at(endpoint)];
         agent.isPresent = true;
         agent.heard = now;
+        ++this->additions;
     }
     return hasMissing;
 }
@@ -107,6 +109,7 @@
     Agent &agent = this->agents[this->indices[from]];
     const bool isChanged = !agent.isPresent || agent.report.phase != report.phase
                            || agent.report.serverIncarnation != report.serverIncarnation;
+    const bool wasPossibleOwner = agent.isPresent && !agent.isEnded;
     const bool isOtherRun = report.serverIncarnation != 0 && agent.report.serverIncarnation != 0
                             && report.serverIncarnation != agent.report.serverIncarnation;
     if (isOtherRun || (agent.isEnded && report.phase != ServerPhase::Ended)) {
@@ -119,6 +122,7 @@
     agent.report.serverIncarnation = knownRun;
     agent.isPresent = true;
     agent.isEnded = report.phase == ServerPhase::Ended;
+    this->additions += !wasPossibleOwner && !agent.isEnded ? 1 : 0;
     agent.heard = now;
     agent.placed = 0;
     agent.placedWork = {};
--- a/mesh/agentdirectory.h
+++ b/mesh/agentdirectory.h
@@ -115,6 +115,8 @@
     std::uint64_t digest(TimePoint now) const;
     // All agents that may own flows.
     std::vector<AgentIndex> possibleOwners() const;
+    // Changes with each agent that is added to possibleOwners().
+    std::uint64_t listVersion() const { return this->additions; }
     OwnerState ownerState(AgentIndex agent, std::uint8_t generation) const;
     bool isResponding(const Agent &agent, TimePoint now) const;
     // True for an agent that has not heard its server since it started, and that does not answer:
@@ -205,6 +207,7 @@
     std::unordered_map<Endpoint, AgentIndex> indices;
     std::map<ServiceName, KnownCosts> knownCosts;
     std::uint64_t reports = 0;
+    std::uint64_t additions = 0; // to the possible owners
 };
 
 } // namespace cactusdeck::mesh
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -72,7 +72,7 @@
                 return this->isHome(this->directory.at(agent));
             });
     const bool isAskingHome = this->questions.take(double(home), now);
-    SearchPlan plan;
+    SearchPlan plan{ .listVersion = this->directory.listVersion() };
     std::vector<AgentIndex> chained;
     for (const AgentIndex agent : possibleOwners) {
         const AgentDirectory::Agent &entry = this->directory.at(agent);
@@ -242,7 +242,12 @@
 {
     FlowSearch *search = this->searches.find(flowHash);
     const bool isNew = now - this->startedAt < agentDiscoveryTime;
-    if (isNew || search->isOwnerKnown() || this->listCheck.isCompleteSince(search->begunAt())) {
+    const bool isCertain = isNew || search->isOwnerKnown();
+    if (!isCertain && search->listVersion() != this->directory.listVersion()) {
+        this->searchAgain(flowHash, now, sink);
+        return;
+    }
+    if (isCertain || this->listCheck.isCompleteSince(search->begunAt())) {
         this->declareLost(flowHash, !isNew, sink);
         return;
     }
@@ -326,7 +331,8 @@
                    { "extended", outcome == AgentListCheck::Outcome::Extended ? "yes" : "no" } });
     for (const std::uint64_t flowHash : this->searches.inListCheck()) {
         const FlowSearch *search = this->searches.find(flowHash);
-        if (outcome == AgentListCheck::Outcome::Extended)
+        // The list may have grown since the search was planned, also by a report.
+        if (search->listVersion() != this->directory.listVersion())
             this->searchAgain(flowHash, now, sink);
         else if (this->listCheck.isCompleteSince(search->begunAt()))
             this->declareLost(flowHash, true, sink);
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -38,6 +38,7 @@
     std::vector<AgentIndex> asked; // agents whose answers are awaited
     // Asked last: ruled out by their last reports, or unlikely because they are in other domains.
     std::vector<AgentIndex> unconfirmed;
+    std::uint64_t listVersion = 0; // of the list of agents that was planned from
     bool isComplete = true; // false if the flow may be at an agent in neither list
     // The flow's own server has answered, or is among the asked; other agents need not be known.
     bool isOwnerKnown = false;
@@ -85,6 +86,7 @@
     bool mayBeAbandoned() const { return this->plan.mayBeAbandoned; }
     // True if some agents that were asked, or whose servers were, did not answer.
     bool isUnanswered() const { return this->hasMissedDeadline; }
+    std::uint64_t listVersion() const { return this->plan.listVersion; }
 
 private:
     // An answer takes one round trip, which is below 10 ms between failure domains of a region.
--- a/mesh/recovery_test.cpp
+++ b/mesh/recovery_test.cpp
@@ -183,6 +183,40 @@
         BOOST_TEST(this->world.balancer(balancer).balancer->state().knowsFormerTargets());
 }
 
+// An agent that the balancer hears of after it has planned the search is asked too.
+BOOST_AUTO_TEST_CASE(asksAnAgentThatReportsDuringTheSearch)
+{
+    const Endpoint late{ 0xC6120003u, 443 };
+    for (const char *node : { "b1", "a1", "a2", "a3", "a9" })
+        this->world.cut("b2", node);
+    this->world.addAgent("a9", "zone-a", "late");
+    this->world.publish(configurationOf({ { booking, "booking" }, { late, "late" } }));
+    this->world.run(1s);
+    BOOST_TEST(this->world.openFlow("b1", callerOf(1), late) == "a9");
+    for (const char *node : { "b1", "a1", "a2", "a3", "a9" })
+        this->world.heal("b2", node);
+    const Segment answer = this->world.packetsTo(callerOf(1)).back().segment;
+    this->world.fromCaller("b2", { .source = callerOf(1),
+                                   .destination = late,
+                                   .sequence = 78,
+                                   .acknowledgement = answer.sequence + 1,
+                                   .length = 50,
+                                   .flags = tcpflag::ack });
+    World::BalancerNode &node = this->world.balancer("b2");
+    BOOST_TEST(!node.balancer->agents().find(this->world.agent("a9").endpoint).has_value());
+    node.balancer->onDatagram(encode(AgentReport{ .name = NodeId{ "a9" },
+                                                  .zone = ZoneName{ "zone-a" },
+                                                  .service = ServiceName{ "late" },
+                                                  .serverIncarnation = 1,
+                                                  .phase = ServerPhase::Ready,
+                                                  .interval = 500ms,
+                                                  .knowsAllFlows = true }),
+                              this->world.agent("a9").endpoint, this->world.now, *node.sink);
+    this->world.run(1s);
+    BOOST_TEST(this->world.resetsTo(callerOf(1)) == 0u);
+    BOOST_TEST(this->world.agent("a9").server.requests == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(aListIsCompleteOnceEveryBalancerHasAnswered)
 {
     const TimePoint start{ 1h };
