Count the probes of an abandoned flow in a sliding window

Cause: two packets were allowed in each of consecutive spans of 2.5 s, so three could reach others' servers in 0.6 s around the end of one, at 2.4, 2.6 and 3.0 s. The platform counts them in any span of two seconds.

Ruled out: one packet in a span; then the copy of a lost one is not probed.

Change: the times of the last two probes are kept, and another one waits until the older of them is 2.5 s old.

Measured: recovery/fewPacketsOfAnAbandonedFlowReachOthersServers fails without the change and passes with it.

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -252,7 +252,7 @@
         this->directory.forgetSilent(now);
         this->peers.forgetSilent(now);
         std::erase_if(this->probed,
-                      [&](const auto &entry) { return now - entry.second.since >= probeWindow; });
+                      [&](const auto &entry) { return now - entry.second.back() >= probeWindow; });
         std::erase_if(this->newcomers,
                       [&](const auto &entry) { return now - entry.second >= newcomerTime; });
         const std::vector<Endpoint> known = this->peers.all();
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSDECK_MESH_BALANCER_H
 #define CACTUSDECK_MESH_BALANCER_H
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -178,7 +179,7 @@
     // The packets of a flow must not reach several servers of others and never its own, which may
     // be the case if its own agent has given up its flows: so few of them are probed in this time.
     static constexpr std::chrono::milliseconds probeWindow{ 2500 };
-    static constexpr int probesPerWindow = 2;
+    static constexpr std::size_t probesPerWindow = 2;
     // From this copy of an opening packet on, the agent that accepted the flow is suspected to have
     // stopped, and another one may be chosen.
     static constexpr std::uint32_t agentSuspectCopy = 2;
@@ -318,12 +319,8 @@
     FlowCache cache;
     FlowSearches searches;
     AgentListCheck listCheck;
-    struct ProbeCount
-    {
-        TimePoint since;
-        int packets = 0;
-    };
-    std::map<std::uint64_t, ProbeCount> probed; // by flow hash
+    using ProbeTimes = std::array<TimePoint, probesPerWindow>; // of the last probes, oldest first
+    std::map<std::uint64_t, ProbeTimes> probed; // by flow hash
     TokenBucket questions{ questionsPerSecond, questionBurst };
     StateReader storeReader;
     std::optional<std::size_t> readerRank; // as of the last choice of readers
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -356,16 +356,17 @@
 bool Balancer::wasProbedInVain(std::uint64_t flowHash, TimePoint now) const
 {
     const auto it = this->probed.find(flowHash);
-    return it != this->probed.end() && it->second.packets >= probesPerWindow
-           && now - it->second.since < probeWindow;
+    return it != this->probed.end() && now - it->second.front() < probeWindow;
 }
 
 void Balancer::countProbe(std::uint64_t flowHash, TimePoint now)
 {
-    ProbeCount &count = this->probed[flowHash];
-    if (count.packets == 0 || now - count.since >= probeWindow)
-        count = { .since = now };
-    ++count.packets;
+    const auto [it, isNew] = this->probed.try_emplace(flowHash);
+    ProbeTimes &times = it->second;
+    if (isNew)
+        times.fill(now - probeWindow);
+    std::rotate(times.begin(), times.begin() + 1, times.end());
+    times.back() = now;
 }
 
 } // namespace cactusdeck::mesh
--- a/mesh/recovery_test.cpp
+++ b/mesh/recovery_test.cpp
@@ -217,6 +217,37 @@
     BOOST_TEST(this->world.agent("a9").server.requests == 1u);
 }
 
+// The platform counts packets that reach only others' servers in any span of two seconds.
+BOOST_AUTO_TEST_CASE(fewPacketsOfAnAbandonedFlowReachOthersServers)
+{
+    BOOST_TEST(this->world.openFlow("b2", callerOf(1), booking) == "a2");
+    this->world.restartAgent("a1");
+    this->world.restartAgent("a2");
+    this->world.restartBalancer("b1");
+    this->world.setEvacuated({ ZoneName{ "zone-b" } });
+    this->world.run(5s);
+    const Segment answer = this->world.packetsTo(callerOf(1)).back().segment;
+    const Server &other = this->world.agent("a1").server;
+    std::vector<TimePoint> packets;
+    TimePoint begin = this->world.now;
+    for (const Duration at : { 0ms, 2400ms, 2600ms, 3000ms, 3800ms, 5400ms }) {
+        this->world.run(begin + at - this->world.now);
+        const std::uint64_t before = other.unknownFlowPackets;
+        this->world.fromCaller("b1", { .source = callerOf(1),
+                                       .destination = booking,
+                                       .sequence = 78,
+                                       .acknowledgement = answer.sequence + 1,
+                                       .length = 50,
+                                       .flags = tcpflag::ack });
+        this->world.run(100ms);
+        if (other.unknownFlowPackets > before)
+            packets.push_back(begin + at);
+    }
+    BOOST_TEST(packets.size() >= 2u);
+    for (std::size_t i = 2; i < packets.size(); ++i)
+        BOOST_TEST((packets[i] - packets[i - 2] >= 2s));
+}
+
 BOOST_AUTO_TEST_CASE(aListIsCompleteOnceEveryBalancerHasAnswered)
 {
     const TimePoint start{ 1h };
