Take no copy of an answer for the answer to a held request

Cause: a held request carries the acknowledgement of the answer before it, so the server sends that answer again after 200 ms. The agent took it for the answer to the held request and dropped the request; the caller's copy then passed all others, beyond the server's slots.

Ruled out: sending the acknowledgement alone; an agent cannot write packets.

Change: only new data of the server answers a request, and only one that it has got.

Measured: heldRequests/aCopyOfTheLastAnswerIsNoAnswerToAHeldRequest: 0 requests held after the copy without the change, 1 with it.

--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -214,10 +214,12 @@
         flow.callerAcknowledgement = segment.sequence;
     if (segment.payloadLength > 0) {
         const std::uint32_t dataEnd = segment.sequence + segment.payloadLength;
-        if (isBefore(flow.serverNext, dataEnd))
+        // The server repeats its last answer while the packet that acknowledges it is held.
+        const bool isNew = isBefore(flow.serverNext, dataEnd);
+        if (isNew)
             flow.serverNext = dataEnd;
         this->serverLoad.onResponseBytes(segment.payloadLength);
-        if (flow.isInProgress) {
+        if (flow.isInProgress && flow.isAtServer && isNew) {
             flow.isInProgress = false;
             this->answers.add(now - flow.requestedAt);
             this->serverLoad.onResponse(now - flow.requestedAt, flow.inProgressBefore, slots, now);
