Release held requests when the server has lost a flow

Cause: a bounced packet ended the request of its flow and freed a slot, but nothing released the next request. With no other request at the server, the held ones waited for some other packet, or expired beside an idle server.

Ruled out: releasing where the scheduler's finish is called; it is called in loops and before the packet that ended the request has gone out.

Change: requests are released after each packet of a caller, also one that is held, and after each bounce.

Measured: heldRequests/aRequestGoesToTheServerWhenItHasLostTheFlowOfAnother: 0 requests at the server without the change, 1 with it.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -36,6 +36,8 @@
         this->onOpening(frame, *segment, now, sink);
     else
         this->onEstablished(frame, *segment, now, sink);
+    // The packet may have ended a request.
+    this->releaseRequests(now, sink);
 }
 
 std::optional<Agent::Decline> Agent::checkAdmission(TimePoint now) const
@@ -206,11 +208,8 @@
     flow->balancer = frame.replyTo;
     flow->terms = frame.terms;
     this->flows.onCaller(*flow, segment, now);
-    if (!this->schedule(*flow, segment, now))
-        return;
-    this->sendToServer(segment.bytes, now, sink);
-    // The caller may have given up a request.
-    this->releaseRequests(now, sink);
+    if (this->schedule(*flow, segment, now))
+        this->sendToServer(segment.bytes, now, sink);
 }
 
 bool Agent::schedule(ServerFlow &flow, const Segment &segment, TimePoint now)
@@ -347,6 +346,7 @@
     const FlowKey key = segment->key.reversed();
     ServerFlow *flow = this->flows.find(key);
     const auto probe = this->probes.find(key);
+        this->releaseRequests(now, sink); // that of a flow that the server has lost has ended
     if (flow == nullptr && probe != this->probes.end()
         && probe->second.isOfLaterFlowThan(*segment)) {
         this->dropEarlier(key, sink);
--- a/mesh/heldrequests_test.cpp
+++ b/mesh/heldrequests_test.cpp
@@ -170,4 +170,17 @@
     BOOST_TEST((this->requestsOf(1) == Sequences{ 78, 88 }));
 }
 
+BOOST_AUTO_TEST_CASE(aRequestGoesToTheServerWhenItHasLostTheFlowOfAnother)
+{
+    this->open(1);
+    this->open(2);
+    this->fromCaller(this->requestOf(1, 78));
+    this->fromCaller(this->requestOf(2, 78));
+    Head bounced = this->requestOf(1, 78);
+    bounced.isBounced = true;
+    this->fromServer(bounced);
+    BOOST_TEST(this->agent.requests().atServer() == 1u);
+    BOOST_TEST((this->requestsOf(2) == Sequences{ 78 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
