Drop the held packets of a flow whose ports are used again

Cause: the held packets of a flow stayed in the queue when a later flow with the same addresses and ports opened, and went to the server before that flow's own request.

Ruled out: comparing sequence numbers at the release; the opening packet says it all.

Change: an opening packet that is not a copy ends the earlier flow at the scheduler too.

Measured: heldRequests/aHeldPacketIsNotSentOnALaterFlowOfTheSamePorts fails without the change and passes with it.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -120,6 +120,7 @@
             this->forwardOpening(opening, segment, { "unservable", false }, sink);
             return;
         }
+        this->scheduler.finish(segment.key); // of an earlier flow with the same key
         flow = &this->flows.open(segment.key, now);
     }
     flow->openingSequence = segment.sequence;
--- a/mesh/heldrequests_test.cpp
+++ b/mesh/heldrequests_test.cpp
@@ -183,4 +183,16 @@
     BOOST_TEST((this->requestsOf(2) == Sequences{ 78 }));
 }
 
+BOOST_AUTO_TEST_CASE(aHeldPacketIsNotSentOnALaterFlowOfTheSamePorts)
+{
+    this->open(1);
+    this->open(2);
+    this->fromCaller(this->requestOf(1, 78));
+    this->fromCaller(this->requestOf(2, 78));
+    this->open(2, 900000);
+    this->fromCaller(this->requestOf(2, 900001));
+    this->fromServer(this->answerTo(1));
+    BOOST_TEST((this->requestsOf(2) == Sequences{ 900001 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
