Hold a request for as long as its caller waits

Cause: a request counted as abandoned after five seconds whatever its route's timeout. A held one was then dropped, and one at the server kept its slot until its deadline even after the answer.

Ruled out: the route's timeout for all requests; it changes the load that servers with more slots report.

Change: a held request is abandoned after its timeout, if that is longer. An answer frees the slot in any case.

Measured: heldRequests/aRequestIsHeldForAsLongAsItsCallerWaits, with a timeout of 20 s and an answer after 7 s, fails without the change and passes with it.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -374,9 +374,9 @@
         return;
     if (flow != nullptr) {
         const bool wasAnswered = flow->isAnswered;
-        const bool wasInProgress = flow->isInProgress;
         this->flows.onServer(*flow, *segment, this->record.slots(), now);
-        if (wasInProgress && !flow->isInProgress)
+        // Also if the request has been at the server for so long that it counts as abandoned.
+        if (!flow->isInProgress)
             this->scheduler.finish(key);
         if (segment->isOpeningAnswer() && !wasAnswered)
             this->reply(Verdict::Accepted, key, flow->balancer, sink);
--- a/mesh/heldrequests_test.cpp
+++ b/mesh/heldrequests_test.cpp
@@ -195,4 +195,21 @@
     BOOST_TEST((this->requestsOf(2) == Sequences{ 900001 }));
 }
 
+// The callers of some routes wait for longer than the agent counts a request as in progress.
+BOOST_AUTO_TEST_CASE(aRequestIsHeldForAsLongAsItsCallerWaits)
+{
+    this->terms.timeout = 20s;
+    this->open(1);
+    this->open(2);
+    this->fromCaller(this->requestOf(1, 78));
+    this->fromCaller(this->requestOf(2, 78));
+    this->run(7s);
+    this->open(3);
+    this->fromServer(this->answerTo(1));
+    BOOST_TEST((this->requestsOf(2) == Sequences{ 78 }));
+    this->fromServer(this->answerTo(2));
+    this->fromCaller(this->requestOf(3, 78));
+    BOOST_TEST((this->requestsOf(3) == Sequences{ 78 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -1,5 +1,6 @@
 #include "mesh/serverflows.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusdeck::mesh {
@@ -245,7 +246,11 @@
 {
     for (auto it = this->flows.begin(); it != this->flows.end();) {
         ServerFlow &flow = it->second;
-        if (flow.isInProgress && now - flow.requestedAt > requestTimeout)
+        // The agent holds a request for as long as its caller waits.
+        const Duration requestLimit =
+                flow.isAtServer ? Duration(requestTimeout)
+                                : std::max<Duration>(requestTimeout, flow.terms.timeout);
+        if (flow.isInProgress && now - flow.requestedAt > requestLimit)
             this->abandonRequest(flow, now);
         const Duration idle = now - flow.lastActive;
         const Duration limit = flow.hasEnded ? Duration(endedTimeout)
