Count no expired request as load

Cause: a held request that expired stayed in progress for up to five seconds, so the agent expected longer waits than there were and declined flows as busy or unservable.

Ruled out: leaving the caller's copy to pass; it then goes past all held requests.

Change: the agent tells ServerFlows of an expired request. A copy of it begins it anew and is held. One test changed in form: expire() returns the flows, so it compares their number.

Measured: heldRequests/anExpiredRequestIsNoLoadAndItsCopyIsHeldAgain: 2 requests in progress without the change, 1 with it.

--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -249,10 +249,14 @@
 
 void Agent::expireRequests(TimePoint now, Sink &sink)
 {
-    const std::size_t expired = this->scheduler.expire(now);
-    if (expired > 0)
+    const std::vector<FlowKey> expired = this->scheduler.expire(now);
+    for (const FlowKey &key : expired) {
+        if (ServerFlow *flow = this->flows.find(key))
+            this->flows.onHeldRequestDropped(*flow, now);
+    }
+    if (!expired.empty())
         sink.log(Level::Info, "requests_expired",
-                 { { "count", std::to_string(expired) },
+                 { { "count", std::to_string(expired.size()) },
                    { "waiting", std::to_string(this->scheduler.waiting()) },
                    { "at_server", std::to_string(this->scheduler.atServer()) } });
     this->releaseRequests(now, sink);
@@ -342,12 +346,12 @@
     this->watch.onServerHeard();
     if (segment->isBounced) {
         this->onBounce(*segment, now, sink);
+        this->releaseRequests(now, sink); // that of a flow that the server has lost has ended
         return;
     }
     const FlowKey key = segment->key.reversed();
     ServerFlow *flow = this->flows.find(key);
     const auto probe = this->probes.find(key);
-        this->releaseRequests(now, sink); // that of a flow that the server has lost has ended
     if (flow == nullptr && probe != this->probes.end()
         && probe->second.isOfLaterFlowThan(*segment)) {
         this->dropEarlier(key, sink);
--- a/mesh/heldrequests_test.cpp
+++ b/mesh/heldrequests_test.cpp
@@ -212,4 +212,23 @@
     BOOST_TEST((this->requestsOf(3) == Sequences{ 78 }));
 }
 
+BOOST_AUTO_TEST_CASE(anExpiredRequestIsNoLoadAndItsCopyIsHeldAgain)
+{
+    this->open(1);
+    this->open(2);
+    this->terms.timeout = 20s;
+    this->fromCaller(this->requestOf(1, 78));
+    this->terms.timeout = 1500ms;
+    this->fromCaller(this->requestOf(2, 78));
+    BOOST_TEST(this->agent.load().inProgress() == 2u);
+    this->run(1500ms);
+    BOOST_TEST(this->agent.requests().waiting() == 0u);
+    BOOST_TEST(this->agent.load().inProgress() == 1u);
+    this->fromCaller(this->requestOf(2, 78));
+    BOOST_TEST(this->agent.requests().waiting() == 1u);
+    BOOST_TEST((this->requestsOf(2) == Sequences{}));
+    this->fromServer(this->answerTo(1));
+    BOOST_TEST((this->requestsOf(2) == Sequences{ 78 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/mesh/requestscheduler.cpp
+++ b/mesh/requestscheduler.cpp
@@ -52,16 +52,16 @@
     return this->queue.take(taken);
 }
 
-std::size_t RequestScheduler::expire(TimePoint now)
+std::vector<FlowKey> RequestScheduler::expire(TimePoint now)
 {
-    std::size_t count = 0;
+    std::vector<FlowKey> expired;
     this->queue.expire(now, [&](const FlowKey &key) {
         this->deadlines.erase(key);
-        ++count;
+        expired.push_back(key);
     });
     std::erase_if(this->running, [&](const auto &request) { return now >= request.second; });
-    this->expiredRequests += count;
-    return count;
+    this->expiredRequests += expired.size();
+    return expired;
 }
 
 TimePoint RequestScheduler::nextTimer() const
--- a/mesh/requestscheduler.h
+++ b/mesh/requestscheduler.h
@@ -45,8 +45,8 @@
     const FlowKey *next(TimePoint now) const;
     std::vector<std::vector<std::uint8_t>> take(const FlowKey &key, TimePoint now);
     // Drops requests whose callers no longer wait, and stops to count those at the server. Returns
-    // the number of the former.
-    std::size_t expire(TimePoint now);
+    // the flows of the former.
+    std::vector<FlowKey> expire(TimePoint now);
     TimePoint nextTimer() const;
     // For a new run of the server.
     void clear();
--- a/mesh/requestscheduler_test.cpp
+++ b/mesh/requestscheduler_test.cpp
@@ -129,7 +129,7 @@
     BOOST_TEST(model.scheduler.waiting() == 1u);
     BOOST_TEST((model.scheduler.nextTimer() == start + 1500ms));
     // The server hangs; its slots are used again once nobody waits for what it does.
-    BOOST_TEST(model.scheduler.expire(start + 1500ms) == 1u);
+    BOOST_TEST(model.scheduler.expire(start + 1500ms).size() == 1u);
     BOOST_TEST(model.scheduler.waiting() == 0u);
     BOOST_TEST(model.scheduler.atServer() == 0u);
 }
--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -167,6 +167,14 @@
     flow.request = this->serviceStarts.onRequest(this->slotCount, now);
 }
 
+void ServerFlows::onHeldRequestDropped(ServerFlow &flow, TimePoint now)
+{
+    if (!flow.isInProgress || flow.isAtServer)
+        return;
+    flow.callerNext = flow.requestSequence;
+    this->abandonRequest(flow, now);
+}
+
 void ServerFlows::onCaller(ServerFlow &flow, const Segment &segment, TimePoint now)
 {
     flow.lastActive = now;
@@ -186,6 +194,7 @@
             flow.isInProgress = true;
             flow.isAtServer = false;
             flow.requestedAt = now;
+            flow.requestSequence = segment.sequence;
             this->beginRequest(flow, now);
         }
     }
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -47,6 +47,7 @@
     // packet of the server. A reset to the caller uses it as its sequence number.
     std::uint32_t callerAcknowledgement = 0;
     std::uint32_t inProgressBefore = 0; // requests in progress at the server when this one arrived
+    std::uint32_t requestSequence = 0; // of the first packet of the request in progress
     std::uint64_t request = 0; // number of the one in progress, in ServiceStarts
     Endpoint route; // the address that the caller uses
     RequestTerms terms; // of the flow's route, as in the last frame
@@ -92,6 +93,8 @@
     void onCaller(ServerFlow &flow, const Segment &segment, TimePoint now);
     // The flow's request goes to the server.
     void onSent(ServerFlow &flow, TimePoint now);
+    // The agent has dropped the request that it held. A copy of its packets begins it anew.
+    void onHeldRequestDropped(ServerFlow &flow, TimePoint now);
     void onServer(ServerFlow &flow, const Segment &segment, std::uint32_t slots, TimePoint now);
     // Removes flows that have been idle for longer than the time-out or ended a while ago.
     void expire(std::chrono::milliseconds idleTimeout, TimePoint now);
