Check a configuration before operators send it

Cause: a mistake in a configuration showed only in force: balancers refuse the whole of it (configuration_unreadable), or take it with a route that never matches, a service without limits or a limit of 0, which agents take for none. Nothing told which open flows a new version resets.

Ruled out: cactusdeck check, which checks the contracts of the project's own interface and links neither mesh nor platform; findings about entries while a field can't be read, since an unread route makes services look unused; severities, since exit status and remedy are the same.

Change: cactusdeck-mesh check FILE [--against OLD]. platform/configurationdraft reads with a schema, stricter than decodeConfiguration, which wraps, clamps or truncates numbers, and still asks that too; mesh/configurationcheck finds entries without effect, contradicting limits and differences on neutral types; paths are made in platform/. decodeConfiguration's parts have names of their own, with no change in what they do. JsonFaults gives its lines.

--- a/core/jsonschema.h
+++ b/core/jsonschema.h
@@ -37,6 +37,8 @@
     void add(const std::string &path, const std::string &fault);
     // Adds the fault "got <value>, expected <expected>".
     void add(const std::string &path, const nlohmann::json &value, const std::string &expected);
+    // One line for each fault, without a line feed at the end.
+    const std::string &lines() const { return this->text; }
     // Returns an error whose message has one line for each fault.
     leaf::error_id error(ErrorKind kind) const;
 
--- a/meshd/meshd_test.cpp
+++ b/meshd/meshd_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <unistd.h>
 
+#include "meshd/configurationcommand.h"
 #include "meshd/http.h"
 #include "meshd/logwriter.h"
 #include "meshd/metricstext.h"
@@ -159,6 +160,52 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(configurationCommand)
+
+BOOST_AUTO_TEST_CASE(exitStatusAndOutput)
+{
+    const std::string file = "meshd_test_configuration.json";
+    const std::string old = "meshd_test_configuration_old.json";
+    const std::string empty = R"({"version":1,"routes":[],"services":[]})";
+    std::ofstream(old) << empty;
+    struct Case
+    {
+        std::string text;
+        std::string against;
+        int exit;
+        std::vector<std::string> lines;
+    };
+    const Case cases[] = {
+        { empty, "", exitValid, { ": valid" } },
+        { R"({"version":2,"routes":[],"services":[],"limits":{}})",
+          old,
+          exitValid,
+          { ": valid", ": no differences from " + old } },
+        { R"({"version":1,"routes":[],"services":[{"name":"s"}]})",
+          old,
+          exitFindings,
+          { ": /version: got 1, expected", ": /services/0: got s, expected", ": got 0 or none",
+            ": /services/0: s added" } },
+        { "{", old, exitFindings, { ": /: not JSON", ": not checked further" } },
+        { empty, "missing.json", exitUnusable, {} },
+    };
+    for (const Case &example : cases) {
+        std::ofstream(file) << example.text;
+        std::ostringstream out;
+        std::ostringstream err;
+        BOOST_TEST(checkConfigurationFile({ .file = file, .against = example.against }, out, err)
+                   == example.exit);
+        for (const std::string &line : example.lines)
+            BOOST_TEST(countLines(out.str(), line) == 1u, out.str());
+        BOOST_TEST(countLines(out.str(), file) == example.lines.size(), out.str());
+        BOOST_TEST(err.str().empty() == (example.exit != exitUnusable));
+    }
+    unlink(file.c_str());
+    unlink(old.c_str());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(logWriter)
 
 BOOST_AUTO_TEST_CASE(limitsLinesPerEventName)
