Read the directory and the store's lists to their end

Cause: lists of the store have pages of about 500 objects. Lists of configurations and evacuations would have counted as whole after one page too. An agent also reported to every endpoint of the directory each 100 ms and stretched its interval by their number.

Ruled out: keeping all endpoints of a long directory as balancers: 2,500 of them make an agent's interval 166 s, and 25,000 reports a second until one is heard.

Change: DirectoryPage and StoreResult state where the list continues. The event loop reads on until a balancer is heard, at most 40 pages at a time, and continues where it ended after a failure. StateReader applies a list when it has all pages, as of the first one. Endpoints of the directory are tried at each reading and by turns, and join the set of balancers when they are heard. Entries of machines that have gone are still not removed.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -263,6 +263,15 @@
     return this->isStopping && phase != ServerPhase::Ended ? ServerPhase::Paused : phase;
 }
 
+void Agent::addFound(const std::vector<Endpoint> &found, TimePoint now, Sink &sink)
+{
+    const std::vector<Endpoint> unheard = this->balancers.addFound(found, now);
+    sink.log(Level::Info, "directory_read",
+             { { "entries", std::to_string(found.size()) },
+               { "unheard", std::to_string(unheard.size()) } });
+    this->reportTo(unheard, reportInterval, now, sink);
+}
+
 std::chrono::milliseconds Agent::intervalFor(std::size_t recipients, double bytesPerSecond)
 {
     const auto affordable = std::chrono::milliseconds(
@@ -349,6 +358,8 @@
         .routes = this->isScheduling() ? this->flows.costs().loads(now) : std::vector<RouteLoad>(),
         .knowsAllFlows = this->knowsAllFlows(),
     };
+    if (this->isAlone(now))
+        this->reportTo(this->balancers.nextFound(foundReports), reportInterval, now, sink);
     const std::vector<std::uint8_t> bytes = encode(report);
     for (const Endpoint &balancer : recipients) {
         this->sent.add(MessageKind::Report, this->balancers.isHome(balancer), bytes.size());
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -91,8 +91,10 @@
     void onMalformedHeartbeat(const std::string &reason, Sink &sink);
     void onDeregister(const std::string &instance, std::int64_t startedAt, TimePoint now,
                       Sink &sink);
-    // Adds mesh endpoints of balancers that were found in the directory.
+    // Adds mesh endpoints of balancers that the settings name.
     void addBalancers(const std::vector<Endpoint> &balancers, TimePoint now, Sink &sink);
+    // The same for the directory, which may also name many that have gone.
+    void addFound(const std::vector<Endpoint> &balancers, TimePoint now, Sink &sink);
     // True if no balancer has been heard for so long that the known endpoints are probably outdated
     // and the directory should be read.
     bool needsDirectory(TimePoint now) const;
@@ -137,6 +139,8 @@
     // is longer, reports to all of them each searchInterval.
     static constexpr std::chrono::milliseconds aloneTime{ 2000 };
     static constexpr int aloneIntervals = 3;
+    // Reports in each searchInterval to balancers that were found in the directory.
+    static constexpr std::size_t foundReports = 5;
     // Several balancers tell an agent of each newcomer, which gets one report in this time.
     static constexpr std::chrono::milliseconds newcomerGap{ 500 };
     static constexpr std::chrono::seconds expiryInterval{ 1 };
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -100,8 +100,10 @@
     std::vector<std::uint8_t> encodeState(TimePoint now) const;
     const FleetState &state() const { return this->fleet; }
 
-    // Adds mesh endpoints of balancers that were found in the directory.
+    // Adds mesh endpoints of balancers that the settings name.
     void addBalancers(const std::vector<Endpoint> &balancers, TimePoint now, Sink &sink);
+    // The same for the directory, which may also name many that have gone.
+    void addFound(const std::vector<Endpoint> &balancers, TimePoint now, Sink &sink);
     bool needsDirectory(TimePoint now) const;
 
     TimePoint nextTimer() const;
@@ -127,6 +129,8 @@
     // by turns. With 200 and 120 bytes that is 3 KB/s; 7 KB/s are allowed for control traffic.
     static constexpr std::size_t homeHellos = 5;
     static constexpr std::size_t remoteHellos = 4;
+    // Hellos in each interval to balancers that were found in the directory and not heard yet.
+    static constexpr std::size_t foundHellos = 10;
     // Contacts in one hello to a home balancer. A domain's balancers tell each other in this way
     // whom they have heard, so that few messages between domains are enough.
     static constexpr std::size_t contactsPerHello = 10;
--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -212,6 +212,15 @@
     this->greet(added, now, sink);
 }
 
+void Balancer::addFound(const std::vector<Endpoint> &found, TimePoint now, Sink &sink)
+{
+    const std::vector<Endpoint> unheard = this->peers.addFound(found, now);
+    sink.log(Level::Info, "directory_read",
+             { { "entries", std::to_string(found.size()) },
+               { "unheard", std::to_string(unheard.size()) } });
+    this->greet(unheard, now, sink);
+}
+
 std::chrono::milliseconds Balancer::intervalFor(std::size_t recipients, std::size_t hellos)
 {
     const std::size_t rounds = std::max<std::size_t>(1, (recipients + hellos - 1) / hellos);
@@ -288,6 +297,7 @@
     recipients.insert(recipients.end(), remote.begin(), remote.end());
     for (const Endpoint &peer : recipients)
         this->sendHello(peer, false, now, sink);
+    this->greet(this->peers.nextFound(foundHellos), now, sink);
     this->contacts.clear();
     this->readerContacts.clear();
 }
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -289,7 +289,7 @@
     const std::vector<Endpoint> live = this->peers.live(now);
     if (live.empty()) {
         // Balancers that are known but not heard may know agents that this one lacks.
-        if (this->peers.size() > 0)
+        if (this->peers.knowsOthers())
             return;
         this->listCheck.completeAlone(now);
         this->onListChecked(AgentListCheck::Outcome::Complete, now, sink);
--- a/mesh/control_test.cpp
+++ b/mesh/control_test.cpp
@@ -308,6 +308,29 @@
     BOOST_TEST(!node.agent->needsDirectory(this->world.now));
 }
 
+// Nearly all entries of a long directory are of machines that have gone.
+BOOST_AUTO_TEST_CASE(findsTheBalancersOfALongDirectory)
+{
+    constexpr std::uint32_t goneBalancers = 2500;
+    for (int i = 0; i < 5; ++i)
+        this->world.cut("a1", "b" + std::to_string(i));
+    this->world.run(3s);
+    World::AgentNode &node = this->world.agent("a1");
+    std::vector<Endpoint> found;
+    for (std::uint32_t i = 0; i < goneBalancers; ++i)
+        found.push_back({ 0x0AF00000u + i, 7180 });
+    found.push_back(this->world.balancer("b3").endpoint);
+    const std::uint64_t before = this->world.controlBytes["a1"];
+    node.agent->addFound(found, this->world.now, *node.sink);
+    this->world.run(10s);
+    BOOST_TEST(node.agent->needsDirectory(this->world.now));
+    BOOST_TEST(this->world.controlBytes["a1"] - before < 800'000u);
+    this->world.heal("a1", "b3");
+    node.agent->addFound(found, this->world.now, *node.sink);
+    this->world.run(100ms);
+    BOOST_TEST(!node.agent->needsDirectory(this->world.now));
+}
+
 BOOST_AUTO_TEST_CASE(heartbeatsOfOtherServersAreRejected)
 {
     World::AgentNode &node = this->world.agent("a1");
--- a/mesh/peerset.cpp
+++ b/mesh/peerset.cpp
@@ -45,12 +45,40 @@
     return added;
 }
 
+std::vector<Endpoint> PeerSet::addFound(const std::vector<Endpoint> &endpoints, TimePoint now)
+{
+    std::vector<Endpoint> unheard;
+    for (const Endpoint &endpoint : endpoints) {
+        if (endpoint == this->options.self || this->peers.contains(endpoint))
+            continue;
+        this->found.insert(endpoint);
+        unheard.push_back(endpoint);
+    }
+    this->foundAt = now;
+    return unheard;
+}
+
+std::vector<Endpoint> PeerSet::nextFound(std::size_t count)
+{
+    std::vector<Endpoint> result;
+    auto it = this->found.upper_bound(this->lastFound);
+    while (result.size() < std::min(count, this->found.size())) {
+        if (it == this->found.end())
+            it = this->found.begin();
+        result.push_back(*it++);
+    }
+    if (!result.empty())
+        this->lastFound = result.back();
+    return result;
+}
+
 bool PeerSet::onHeard(Endpoint endpoint, const Statement &statement, TimePoint now)
 {
     if (endpoint == this->options.self)
         return false;
     Peer &peer = this->peers[endpoint];
     const bool wasSilent = !this->isLive(peer, now);
+    this->found.erase(endpoint);
     peer.heard = now;
     peer.interval = statement.interval;
     peer.isReader = statement.isReader;
@@ -94,6 +122,8 @@
         const Duration limit = std::max<Duration>(forgetTimeout, this->silenceLimit(peer) * 2);
         return !peer.isSeed && now - std::max(peer.heard, peer.added) > limit;
     });
+    if (now - this->foundAt > forgetTimeout)
+        this->found.clear();
 }
 
 std::vector<Endpoint> PeerSet::all() const
--- a/mesh/peerset.h
+++ b/mesh/peerset.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "core/types.h"
@@ -11,7 +12,8 @@
 // from the directory in the store. Balancers of the node's own failure domain (home) exchange
 // messages often, those of other domains (remote) less often the more there are, so that the
 // control traffic of a node doesn't grow with the fleet. Each balancer states how often it sends to
-// this node, and counts as live until several of its messages are missing.
+// this node, and counts as live until several of its messages are missing. Most of the endpoints in
+// a long directory may be of machines that have gone, so they are only tried until they are heard.
 //
 //     PeerSet peers({ .self = settings.mesh, .zone = settings.zone });
 //     peers.addSeeds(settings.seeds, now);
@@ -61,6 +63,11 @@
     void addSeeds(const std::vector<Endpoint> &endpoints, TimePoint now);
     // Returns the endpoints that are new.
     std::vector<Endpoint> add(const std::vector<Endpoint> &endpoints, TimePoint now);
+    // Adds endpoints of the directory, which become balancers of this set when they are heard.
+    // Returns those that are not, as each reading of the directory is a reason to try them again.
+    std::vector<Endpoint> addFound(const std::vector<Endpoint> &endpoints, TimePoint now);
+    // Up to count of the found endpoints that have not been heard; successive calls go round them.
+    std::vector<Endpoint> nextFound(std::size_t count);
     // Returns true if the balancer was unknown or not live before.
     bool onHeard(Endpoint endpoint, const Statement &statement, TimePoint now);
     // Another node has heard the balancer at this time. Only balancers that have been heard here
@@ -86,6 +93,8 @@
     // How long ago the balancer was heard. It must be live.
     Contact contactOf(Endpoint endpoint, TimePoint now) const;
     std::size_t size() const { return this->peers.size(); }
+    // False if no balancer but this node is known, heard or not.
+    bool knowsOthers() const { return !this->peers.empty() || !this->found.empty(); }
     // The last time that any balancer was heard; the epoch if none has been heard.
     TimePoint lastHeard() const { return this->lastHeardAny; }
 
@@ -121,6 +130,9 @@
     std::chrono::milliseconds remoteInterval{ 0 };
     TimePoint lastHeardAny{};
     Endpoint lastContact; // of the last call of nextContacts
+    std::set<Endpoint> found; // in the directory, and not heard yet
+    TimePoint foundAt{}; // when the last of them was added
+    Endpoint lastFound; // of the last call of nextFound
 };
 
 } // namespace cactusdeck::mesh
--- a/mesh/statereader.cpp
+++ b/mesh/statereader.cpp
@@ -68,9 +68,11 @@
     topic.isWatchPending = topic.revision != 0;
     topic.coveredRevision = this->seenRevision;
     topic.overdueAt = TimePoint::max();
-    StoreQuery query{
-        .topic = name, .since = topic.revision, .timeout = listTimeout, .id = topic.pendingQuery
-    };
+    StoreQuery query{ .topic = name,
+                      .since = topic.revision,
+                      .after = topic.isWatchPending ? std::string() : topic.pages.after,
+                      .timeout = listTimeout,
+                      .id = topic.pendingQuery };
     if (topic.isWatchPending) {
         query.wait = watchTime;
         query.timeout = watchTime + watchMargin;
@@ -128,15 +130,37 @@
                  { { "topic", topicNames[std::size_t(result.query.topic)] },
                    { "revision", std::to_string(topic.revision) } });
         topic.revision = 0;
+        topic.pages = {};
         return false;
     }
+    const std::optional<StoreResult> whole =
+            result.query.since == 0 ? wholeList(topic, result) : result;
+    if (!whole)
+        return false;
     if (result.query.since != 0)
         topic.hasLostHistory = false;
     if (!topic.hasLostHistory)
         topic.backoff = firstBackoff;
     // Revision 0 would mean that a list is still needed.
-    topic.revision = std::max<Revision>(result.asOf, 1);
-    return this->apply(result, now, state, sink);
+    topic.revision = std::max<Revision>(whole->asOf, 1);
+    return this->apply(*whole, now, state, sink);
+}
+
+std::optional<StoreResult> StateReader::wholeList(Topic &topic, const StoreResult &page)
+{
+    Pages &pages = topic.pages;
+    if (page.query.after.empty())
+        pages = { .asOf = page.asOf };
+    pages.objects.insert(pages.objects.end(), page.objects.begin(), page.objects.end());
+    if (page.next) {
+        pages.after = *page.next;
+        return std::nullopt;
+    }
+    StoreResult whole = page;
+    whole.asOf = pages.asOf;
+    whole.objects = std::move(pages.objects);
+    pages = {};
+    return whole;
 }
 
 bool StateReader::isOfEarlierEra(const StoreResult &result) const
@@ -199,7 +223,7 @@
         if (!topic.isWatchPending || topic.pendingQuery == 0
             || probe.asOf <= std::max(topic.coveredRevision, topic.revision))
             continue;
-        if (StoreTopic(i) == StoreTopic::Evacuations && probedZones == this->zones)
+        if (StoreTopic(i) == StoreTopic::Evacuations && !probe.next && probedZones == this->zones)
             continue;
         if (topic.overdueAt != TimePoint::max())
             continue;
--- a/mesh/statereader.h
+++ b/mesh/statereader.h
@@ -18,7 +18,8 @@
 
 // Follows the operators' objects in the store. For each topic it lists all objects once, then
 // watches for changes after the revision of the last answer, and lists again if the store no longer
-// has the history from that revision.
+// has the history from that revision. A list may have several pages. It is applied when all of them
+// have been read, as of its first page, so that the watch reports what changed meanwhile.
 //
 // A watch can go silent without an error, for example if it was opened while the store did not
 // answer. Between changes the reader therefore sends probes: cheap lists that may be out of date
@@ -44,6 +45,7 @@
 {
     StoreTopic topic = StoreTopic::Configuration;
     Revision since = 0; // 0: list all objects; otherwise watch for changes after this revision
+    std::string after; // of a list: only the objects that follow the one of this name; empty: all
     std::chrono::milliseconds wait{ 0 }; // time limit of a watch
     std::chrono::milliseconds timeout{ 0 }; // without an answer the query has failed
     bool isProbe = false; // a list that may be some seconds out of date
@@ -71,6 +73,7 @@
     StoreEra era = 0; // of the store when it answered, also if it refused
     Revision asOf = 0;
     std::vector<StoreObject> objects;
+    std::optional<std::string> next; // the list continues after the object of this name
 };
 
 class StateReader
@@ -124,6 +127,13 @@
         std::chrono::milliseconds backoff{ 0 };
         std::uint32_t failures = 0; // since the last answer
     };
+    // The pages of a list that have been read so far.
+    struct Pages
+    {
+        std::string after; // name of the last object
+        Revision asOf = 0; // of the first page
+        std::vector<StoreObject> objects;
+    };
     struct Topic : Channel
     {
         Revision revision = 0; // to watch from; 0: a list is needed
@@ -132,6 +142,7 @@
         // The pending query reports all changes up to this revision at once.
         Revision coveredRevision = 0;
         TimePoint overdueAt = TimePoint::max(); // when the pending watch is given up
+        Pages pages; // empty, or of the list in progress
     };
 
     StoreQuery nextQueryOf(StoreTopic topic);
@@ -139,6 +150,9 @@
     void onProbe(const StoreResult &result, TimePoint now, Sink &sink);
     // Gives up pending watches that do not report a change that the store already has.
     void checkWatches(const StoreResult &probe, TimePoint now, Sink &sink);
+    // Adds the result's page to the pages read before. Returns the whole list, or nullopt if there
+    // are more pages.
+    static std::optional<StoreResult> wholeList(Topic &topic, const StoreResult &page);
     bool apply(const StoreResult &result, TimePoint now, FleetState &state, Sink &sink);
     bool applyConfiguration(const StoreResult &result, FleetState &state, Sink &sink);
     bool applyEvacuations(const StoreResult &result, TimePoint now, FleetState &state);
--- a/mesh/statereader_test.cpp
+++ b/mesh/statereader_test.cpp
@@ -108,6 +108,34 @@
     BOOST_TEST(this->state.configuration()->version == 5u);
 }
 
+// A list of several pages counts as one that was taken with its first page.
+BOOST_AUTO_TEST_CASE(appliesAListWhenAllOfItsPagesHaveBeenRead)
+{
+    BOOST_TEST(this->answer(StoreTopic::Evacuations, 40, { zone("old") }));
+    this->reader.setActive(false, this->now);
+    this->reader.setActive(true, this->now);
+    for (int page = 0; page < 5; ++page) {
+        const StoreQuery query = this->query(StoreTopic::Evacuations);
+        BOOST_TEST(query.since == 0u);
+        BOOST_TEST(query.after == (page == 0 ? "" : "z" + std::to_string(page - 1)));
+        BOOST_TEST(this->isEvacuated("old"));
+        BOOST_TEST(!this->isEvacuated("z0"));
+        StoreResult result{ .query = query,
+                            .kind = StoreResultKind::Answered,
+                            .era = this->era,
+                            .asOf = Revision(50 + page),
+                            .objects = { zone("z" + std::to_string(page)) } };
+        if (page < 4)
+            result.next = "z" + std::to_string(page);
+        BOOST_TEST(this->reader.onResult(result, this->now, this->state, this->sink)
+                   == (page == 4));
+    }
+    BOOST_TEST(!this->isEvacuated("old"));
+    for (int page = 0; page < 5; ++page)
+        BOOST_TEST(this->isEvacuated("z" + std::to_string(page)));
+    BOOST_TEST(this->query(StoreTopic::Evacuations).since == 50u);
+}
+
 BOOST_AUTO_TEST_CASE(listsAgainWhenHistoryIsLost)
 {
     this->answer(StoreTopic::Configuration, 40);
--- a/meshd/agentdaemon.cpp
+++ b/meshd/agentdaemon.cpp
@@ -81,10 +81,8 @@
             .afterEvent = [this](TimePoint now) { this->checkServer(now); },
             .onHttp = [this](const HttpRequest &request) { return this->respond(request); },
             .needsDirectory = [this](TimePoint now) { return this->agent.needsDirectory(now); },
-            .onDirectory =
-                    [this](const std::vector<Endpoint> &found, TimePoint now) {
-                        this->agent.addBalancers(found, now, this->loop);
-                    },
+            .onDirectory = [this](const std::vector<Endpoint> &found,
+                                  TimePoint now) { this->agent.addFound(found, now, this->loop); },
         };
     }
 
--- a/meshd/balancerdaemon.cpp
+++ b/meshd/balancerdaemon.cpp
@@ -91,7 +91,7 @@
             .needsDirectory = [this](TimePoint now) { return this->balancer.needsDirectory(now); },
             .onDirectory =
                     [this](const std::vector<Endpoint> &found, TimePoint now) {
-                        this->balancer.addBalancers(found, now, this->loop);
+                        this->balancer.addFound(found, now, this->loop);
                     },
         };
     }
--- a/meshd/eventloop.cpp
+++ b/meshd/eventloop.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::size_t meshSocketIndex = 0;
 constexpr std::size_t packetSocketIndex = 1;
+constexpr unsigned statusOk = 200;
 
 } // namespace
 
@@ -141,23 +142,48 @@
     this->isDirectoryQueryPending = true;
     this->log(Level::Warning, "no_balancer_heard",
               { { "next_try_ms", std::to_string(this->directoryInterval.count()) } });
+    this->directoryPages = 0;
+    this->queryDirectoryPage();
+}
+
+void EventLoop::queryDirectoryPage()
+{
     this->call({ .to = this->options.store,
-                 .target = platform::directoryListTarget(),
+                 .target = platform::directoryListTarget(this->directoryAfter),
                  .timeout = directoryTimeout },
                [this](const HttpAnswer &answer, TimePoint answeredAt) {
-                   this->isDirectoryQueryPending = false;
-                   this->nextDirectoryQuery = answeredAt + this->directoryInterval;
-                   this->directoryInterval =
-                           std::min(this->directoryInterval * 2, maxDirectoryInterval);
-                   if (answer.status == 200)
-                       this->handlers.onDirectory(platform::decodeDirectory(answer.body),
-                                                  answeredAt);
-                   else
-                       this->log(Level::Warning, "directory_unreachable",
-                                 { { "status", std::to_string(answer.status) } });
+                   this->onDirectoryPage(answer, answeredAt);
                });
 }
 
+void EventLoop::onDirectoryPage(const HttpAnswer &answer, TimePoint at)
+{
+    const auto page = answer.status == statusOk ? platform::decodeDirectory(answer.body)
+                                                : std::optional<platform::DirectoryPage>();
+    if (page) {
+        ++this->directoryPages;
+        this->directoryAfter = page->next.value_or("");
+        this->handlers.onDirectory(page->balancers, at);
+        // Balancers that have been heard tell of the others.
+        if (page->next && this->directoryPages < maxDirectoryPages
+            && this->handlers.needsDirectory(at)) {
+            this->queryDirectoryPage();
+            return;
+        }
+    } else {
+        this->log(Level::Warning, "directory_unreachable",
+                  { { "status", std::to_string(answer.status) },
+                    { "pages", std::to_string(this->directoryPages) } });
+        // The page may have been named after an entry that cannot be continued from.
+        if (answer.status == statusOk)
+            this->directoryAfter.clear();
+    }
+    // The next query continues where this one ended.
+    this->isDirectoryQueryPending = false;
+    this->nextDirectoryQuery = at + this->directoryInterval;
+    this->directoryInterval = std::min(this->directoryInterval * 2, maxDirectoryInterval);
+}
+
 void EventLoop::call(HttpCall httpCall, std::function<void(const HttpAnswer &, TimePoint)> callback)
 {
     callHttp(this->io, std::move(httpCall),
--- a/meshd/eventloop.h
+++ b/meshd/eventloop.h
@@ -105,6 +105,8 @@
     static constexpr std::chrono::milliseconds maxDirectoryInterval{ 10000 };
     static constexpr std::chrono::milliseconds directoryTimeout{ 1500 };
     static constexpr std::chrono::milliseconds minDirectoryDelay{ 500 };
+    // Pages read without a pause. A page has about 500 entries.
+    static constexpr int maxDirectoryPages = 40;
 
     Result<void> addSocket(Endpoint endpoint, DatagramHandler handler);
     void waitUntilReadable(WatchedSocket &watched);
@@ -112,6 +114,8 @@
     void waitForSignal();
     void onTimer(TimePoint at);
     void queryDirectory(TimePoint at);
+    void queryDirectoryPage();
+    void onDirectoryPage(const HttpAnswer &answer, TimePoint at);
     void finishEvent();
     void setTimer(TimePoint deadline);
     // Total time for which the machine has been suspended since it booted.
@@ -130,6 +134,8 @@
     TimePoint nextDirectoryQuery{};
     std::chrono::milliseconds directoryInterval = firstDirectoryInterval;
     bool isDirectoryQueryPending = false;
+    std::string directoryAfter; // the next page follows the entry of this name; empty: the first
+    int directoryPages = 0; // read in this query
 };
 
 } // namespace cactusdeck::meshd
