Treat a server as cold after a suspension and a zone's return

Servers of an evacuated zone may turn cold just before it returns, and were flooded until their next heartbeat.

Ruled out: reading heartbeats first, since a queued one may be of the earlier run; a connection to the server, which does not tell one run from another; and judging by the age of the last heartbeat, as freezes are shorter than its interval.

Change: ColdPresumption. While the service states a cold limit, the agent has an event each 200 ms. A gap of more than 350 ms, a pause of the machine (also noticed before queued packets are read) and a zone's return make it apply the limit and report a cold server until a heartbeat that arrives more than 100 ms later. Services without a limit are not affected.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -35,6 +35,7 @@
 void Agent::onDatagram(std::span<const std::uint8_t> datagram, Endpoint from, TimePoint now,
                        Sink &sink)
 {
+    this->onEvent(now, sink);
     if (isPeerMessage(datagram)) {
         const std::optional<PeerMessage> message = decodePeerMessage(datagram);
         if (message && std::holds_alternative<BalancerNotice>(*message)) {
@@ -52,6 +53,7 @@
 
 bool Agent::onHeartbeat(const Heartbeat &heartbeat, TimePoint now, Sink &sink)
 {
+    this->onEvent(now, sink);
     if (heartbeat.service != this->options.service || heartbeat.address != this->options.server) {
         ++this->counts.rejectedHeartbeats;
         sink.log(Level::Warning, "heartbeat_rejected",
@@ -65,7 +67,7 @@
     ++this->counts.heartbeats;
     const ServerPhase before = this->phase();
     const std::uint64_t runBefore = this->record.incarnation();
-    const bool wasCold = this->record.isCold(now);
+    const bool wasCold = this->mayBeCold(now);
     const TimePoint lastHeard = this->record.lastHeard();
     const HeartbeatVerdict verdict = this->record.onHeartbeat(heartbeat, now);
     if (verdict == HeartbeatVerdict::Stale) {
@@ -76,12 +78,13 @@
         return true;
     }
     this->watch.onServerHeard();
+    this->coldPresumption.onHeartbeat(now);
     // The new run may have accepted flows that were opened after the last heartbeat of the earlier
     // run. It returns the packets of those that it does not have.
     if (verdict == HeartbeatVerdict::NewServer)
         this->resetFlowsBefore(lastHeard, "server_replaced", now, sink);
     const bool isChanged = before != this->phase() || runBefore != this->record.incarnation()
-                           || wasCold != this->record.isCold(now);
+                           || wasCold != this->mayBeCold(now);
     if (isChanged) {
         sink.log(Level::Info, "server_changed",
                  { { "instance", heartbeat.instance },
@@ -187,10 +190,11 @@
         return;
     // An agent that starts in an evacuated zone does not know when the evacuation began; it counts
     // from its own start.
-    this->setEvacuated(notice.isZoneEvacuated, isFirst ? this->startedAt : now, from, sink);
+    this->setEvacuated(notice.isZoneEvacuated, isFirst ? this->startedAt : now, from, now, sink);
 }
 
-void Agent::setEvacuated(bool isZoneEvacuated, TimePoint since, Endpoint balancer, Sink &sink)
+void Agent::setEvacuated(bool isZoneEvacuated, TimePoint since, Endpoint balancer, TimePoint now,
+                         Sink &sink)
 {
     this->isEvacuated = isZoneEvacuated;
     this->evacuatedAt = since;
@@ -201,6 +205,41 @@
                { "revision", std::to_string(this->evacuationsAsOf.revision) },
                { "balancer", toString(balancer) },
                { "flows", std::to_string(this->flows.openCount()) } });
+    if (!this->isEvacuated)
+        this->presumeCold("zone_returned", now - since, now, sink);
+}
+
+void Agent::onEvent(TimePoint now, Sink &sink)
+{
+    const std::optional<Duration> gap = this->coldPresumption.onEvent(now);
+    if (gap && this->limits.coldFlowsPerSecond > 0)
+        this->presumeCold("agent_suspended", *gap, now, sink);
+}
+
+void Agent::onPaused(TimePoint now, Sink &sink)
+{
+    sink.log(Level::Warning, "machine_was_paused", {});
+    this->presumeCold("machine_paused", Duration::zero(), now, sink);
+}
+
+void Agent::presumeCold(const char *reason, Duration gap, TimePoint now, Sink &sink)
+{
+    this->coldPresumption.presume(now);
+    if (this->limits.coldFlowsPerSecond <= 0)
+        return;
+    sink.log(Level::Info, "server_presumed_cold",
+             { { "reason", reason },
+               { "gap_ms",
+                 std::to_string(
+                         std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()) },
+               { "cold_flows_per_second", std::to_string(this->limits.coldFlowsPerSecond) } });
+    this->reportSoon(now);
+}
+
+bool Agent::mayBeCold(TimePoint now) const
+{
+    return this->record.isCold(now)
+           || (this->limits.coldFlowsPerSecond > 0 && this->coldPresumption.isPresumed());
 }
 
 void Agent::reportToNewcomers(const std::vector<Endpoint> &endpoints, TimePoint now, Sink &sink)
@@ -224,6 +263,15 @@
     this->reportSoon(now);
 }
 
+void Agent::addFound(const std::vector<Endpoint> &found, TimePoint now, Sink &sink)
+{
+    const std::vector<Endpoint> unheard = this->balancers.addFound(found, now);
+    sink.log(Level::Info, "directory_read",
+             { { "entries", std::to_string(found.size()) },
+               { "unheard", std::to_string(unheard.size()) } });
+    this->reportTo(unheard, reportInterval, now, sink);
+}
+
 bool Agent::needsDirectory(TimePoint now) const
 {
     return now - std::max(this->startedAt, this->balancers.lastHeard()) > directoryDelay;
@@ -263,15 +311,6 @@
     return this->isStopping && phase != ServerPhase::Ended ? ServerPhase::Paused : phase;
 }
 
-void Agent::addFound(const std::vector<Endpoint> &found, TimePoint now, Sink &sink)
-{
-    const std::vector<Endpoint> unheard = this->balancers.addFound(found, now);
-    sink.log(Level::Info, "directory_read",
-             { { "entries", std::to_string(found.size()) },
-               { "unheard", std::to_string(unheard.size()) } });
-    this->reportTo(unheard, reportInterval, now, sink);
-}
-
 std::chrono::milliseconds Agent::intervalFor(std::size_t recipients, double bytesPerSecond)
 {
     const auto affordable = std::chrono::milliseconds(
@@ -319,6 +358,8 @@
     const std::vector<Endpoint> recipients = this->balancers.split(now).home;
     this->homeInterval = intervalFor(recipients.size(), homeBytesPerSecond);
     this->reportTo(recipients, this->homeInterval, now, sink);
+    if (this->isAlone(now))
+        this->reportTo(this->balancers.nextFound(foundReports), reportInterval, now, sink);
     this->reportedFlows = this->flows.openCount();
     this->lastHomeReport = now;
     this->nextHomeReport = now + (this->isAlone(now) ? searchInterval : this->homeInterval);
@@ -345,7 +386,7 @@
         .service = this->options.service,
         .serverIncarnation = this->record.incarnation(),
         .phase = this->phase(),
-        .isCold = this->record.isCold(now),
+        .isCold = this->mayBeCold(now),
         .slots = this->record.slots(),
         .flows = std::uint32_t(this->flows.openCount()),
         .requestsInProgress = load.meanInProgress(now),
@@ -358,8 +399,6 @@
         .routes = this->isScheduling() ? this->flows.costs().loads(now) : std::vector<RouteLoad>(),
         .knowsAllFlows = this->knowsAllFlows(),
     };
-    if (this->isAlone(now))
-        this->reportTo(this->balancers.nextFound(foundReports), reportInterval, now, sink);
     const std::vector<std::uint8_t> bytes = encode(report);
     for (const Endpoint &balancer : recipients) {
         this->sent.add(MessageKind::Report, this->balancers.isHome(balancer), bytes.size());
@@ -372,6 +411,8 @@
     TimePoint next =
             std::min({ this->nextHomeReport, this->nextRemoteReport, this->nextExpiry,
                        this->returnsAt, this->watch.nextCheck(), this->scheduler.nextTimer() });
+    if (this->limits.coldFlowsPerSecond > 0)
+        next = std::min(next, this->coldPresumption.nextEvent());
     if (this->mustEndFlows)
         next = std::min(next, this->deregisteredAt + exitDelay + std::chrono::milliseconds(1));
     return this->isStopping ? std::min(next, this->nextStopCheck) : next;
@@ -379,6 +420,7 @@
 
 void Agent::onTimer(TimePoint now, Sink &sink)
 {
+    this->onEvent(now, sink);
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + expiryInterval;
         this->flows.expire(this->idleTimeout, now);
@@ -389,7 +431,7 @@
     if (now >= this->scheduler.nextTimer())
         this->expireRequests(now, sink);
     if (now >= this->returnsAt)
-        this->setEvacuated(false, now, {}, sink);
+        this->setEvacuated(false, now, {}, now, sink);
     if (this->mustEndFlows && this->hasServerExited(now))
         this->resetAllFlows("server_exited", now, sink);
     if (now >= this->nextHomeReport)
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/frame.h"
+#include "mesh/coldpresumption.h"
 #include "mesh/coldstartlimiter.h"
 #include "mesh/peermessage.h"
 #include "mesh/peerset.h"
@@ -106,6 +107,8 @@
 
     TimePoint nextTimer() const;
     void onTimer(TimePoint now, Sink &sink);
+    // The machine was paused, so that its clock stood still and packets have queued up.
+    void onPaused(TimePoint now, Sink &sink);
     // Stops admitting flows. The agent is stopped once no request is in progress, and after
     // stopLimit at the latest.
     void stop(TimePoint now, Sink &sink);
@@ -227,7 +230,8 @@
     bool onServerReset(const FlowKey &key, const ServerFlow *flow, TimePoint now, Sink &sink);
     void onNotice(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
     void applyEvacuation(const BalancerNotice &notice, Endpoint from, TimePoint now, Sink &sink);
-    void setEvacuated(bool isZoneEvacuated, TimePoint since, Endpoint balancer, Sink &sink);
+    void setEvacuated(bool isZoneEvacuated, TimePoint since, Endpoint balancer, TimePoint now,
+                      Sink &sink);
     std::optional<Decline> checkAdmission(TimePoint now) const;
     // The time that a request of one more flow is expected to wait at the server.
     Duration expectedWait() const;
@@ -254,6 +258,12 @@
     bool isAlone(TimePoint now) const;
     bool hasFlowCountChanged() const;
     bool isOutOfService(TimePoint now) const;
+    // Called at each event of the agent.
+    void onEvent(TimePoint now, Sink &sink);
+    // Treats the server as cold until a later heartbeat says otherwise, if the service states a
+    // limit for cold servers.
+    void presumeCold(const char *reason, Duration gap, TimePoint now, Sink &sink);
+    bool mayBeCold(TimePoint now) const;
     // True if the server has so few slots that its requests are scheduled one by one.
     bool isScheduling() const;
     bool hasServerExited(TimePoint now) const;
@@ -279,6 +289,7 @@
     ServerFlows flows;
     RequestScheduler scheduler;
     ColdStartLimiter coldStartLimiter;
+    ColdPresumption coldPresumption;
     std::unordered_map<FlowKey, Probe, FlowKeyHash> probes;
     AgentCounters counts;
     Traffic sent;
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -58,7 +58,7 @@
     }
     if (this->limits.connections > 0 && this->flows.openCount() >= this->limits.connections)
         return Decline{ "connections_full", false };
-    if (this->record.isCold(now)) {
+    if (this->mayBeCold(now)) {
         const double allowed = this->limits.coldFlowsPerSecond;
         if (this->configuration == 0)
             return Decline{ "limits_unknown", true };
@@ -337,6 +337,7 @@
 
 void Agent::onServerPacket(std::span<const std::uint8_t> packet, TimePoint now, Sink &sink)
 {
+    this->onEvent(now, sink);
     const std::optional<Segment> segment = this->options.codec->parse(packet);
     if (!segment) {
         ++this->counts.malformed;
--- a/mesh/operatorlessons_test.cpp
+++ b/mesh/operatorlessons_test.cpp
@@ -421,4 +421,36 @@
     BOOST_TEST(double(node.server.openings.size()) <= 1.5 * coldFlowsPerSecond + 5);
 }
 
+// The server turns cold 0.3 s before its zone returns and says so with its next heartbeat. Later,
+// when a heartbeat says that it is warm, it gets all flows, also after a second without traffic.
+BOOST_AUTO_TEST_CASE(aServerOfAReturningZoneIsColdUntilAHeartbeatSaysOtherwise)
+{
+    constexpr double coldFlowsPerSecond = 4;
+    this->world.publish(configurationOf({ { booking, "booking" } }, coldFlowsPerSecond));
+    this->world.agent("a2").server.isDraining = true;
+    World::AgentNode &node = this->world.agent("a1");
+    this->world.setEvacuated({ ZoneName{ "zone-a" } });
+    this->world.run(5s);
+    const auto heartbeats = [&] { return node.agent->counters().heartbeats; };
+    for (const std::uint64_t before = heartbeats(); heartbeats() == before;)
+        this->world.run(1ms);
+    node.server.coldFor = 2s;
+    this->world.setEvacuated({});
+    this->world.run(100ms); // less than the server needs until its next heartbeat
+    std::uint16_t port = 1;
+    const std::size_t before = node.server.openings.size();
+    for (; port <= 24; ++port)
+        this->world.fromCaller("b1", opening(callerOf(port), booking));
+    this->world.run(50ms);
+    BOOST_TEST(double(node.server.openings.size() - before) <= 1.5 * coldFlowsPerSecond + 5);
+    BOOST_TEST(node.server.openings.size() > before);
+    node.server.coldFor = 0s;
+    this->world.run(3s);
+    const std::size_t warm = node.server.openings.size();
+    for (; port <= 48; ++port)
+        this->world.fromCaller("b1", opening(callerOf(port), booking));
+    this->world.run(50ms);
+    BOOST_TEST(node.server.openings.size() == warm + 24);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/meshd/agentdaemon.cpp
+++ b/meshd/agentdaemon.cpp
@@ -67,9 +67,7 @@
                     },
             .onTimer = [this](TimePoint now) { this->agent.onTimer(now, this->loop); },
             .nextTimer = [this] { return this->agent.nextTimer(); },
-            // No action is needed: heartbeats and reports resume by themselves after a pause.
-            .onPaused =
-                    [this](TimePoint) { this->loop.log(Level::Warning, "machine_was_paused", {}); },
+            .onPaused = [this](TimePoint now) { this->agent.onPaused(now, this->loop); },
             .onStop = [this](TimePoint now) { this->agent.stop(now, this->loop); },
             .isStopped = [this](TimePoint) { return this->agent.isStopped(); },
             .onReload =
--- a/meshd/eventloop.cpp
+++ b/meshd/eventloop.cpp
@@ -88,6 +88,8 @@
 void EventLoop::receive(WatchedSocket &watched)
 {
     const TimePoint at = now();
+    // Packets that have queued up are handled with the knowledge that they have.
+    this->noticePause(at);
     const std::size_t count = watched.socket.receive();
     for (std::size_t i = 0; i < count; ++i) {
         const Datagram datagram = watched.socket.datagram(i);
@@ -121,12 +123,17 @@
            + std::chrono::nanoseconds(boot.tv_nsec - steady.tv_nsec);
 }
 
-void EventLoop::onTimer(TimePoint at)
+void EventLoop::noticePause(TimePoint at)
 {
     const Duration total = suspendedTime();
     if (total - this->lastSuspendedTime > pauseThreshold)
         this->handlers.onPaused(at);
     this->lastSuspendedTime = total;
+}
+
+void EventLoop::onTimer(TimePoint at)
+{
+    this->noticePause(at);
     this->handlers.onTimer(at);
     this->queryDirectory(at);
 }
--- a/meshd/eventloop.h
+++ b/meshd/eventloop.h
@@ -112,6 +112,7 @@
     void waitUntilReadable(WatchedSocket &watched);
     void receive(WatchedSocket &watched);
     void waitForSignal();
+    void noticePause(TimePoint at);
     void onTimer(TimePoint at);
     void queryDirectory(TimePoint at);
     void queryDirectoryPage();
