Pass a FIN on although a server has acknowledged it

Cause: a server acknowledges a FIN of a flow that has ended there, which may be an earlier one of the same ports. Its agent did not take the acknowledgement for a proof of ownership, but the packet went no further, so the flow's own server never got it.

Ruled out: dropping the acknowledgement; a server that does own the flow would be asked 8 times. Answering the balancer that the flow is unknown; if that server owns it, the flow would be reset.

Change: the next agents of the chain get the packet too, without a balancer to reply to, so that its search ends without a result and resets nothing.

--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -219,6 +219,9 @@
     // The same for the probe of the flow, whose packet the server has answered without owning the
     // flow. The probe ends.
     void continueProbe(const FlowKey &key, Sink &sink);
+    // The server may have acknowledged the end of an earlier flow of the same ports: the next
+    // agents get the packet too, but cannot declare the flow lost.
+    void continueClosing(const FlowKey &key, Sink &sink);
     // Counts and logs a packet of the server that belongs to an earlier flow of the same ports.
     void dropEarlier(const FlowKey &key, Sink &sink);
     void onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink);
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -317,6 +317,20 @@
         this->continueProbe(probe.remaining, probe.balancer, *packet, sink);
 }
 
+void Agent::continueClosing(const FlowKey &key, Sink &sink)
+{
+    const auto it = this->probes.find(key);
+    const Probe probe = std::move(it->second);
+    this->probes.erase(it);
+    if (probe.remaining.empty() || probe.packet.empty())
+        return;
+    sink.log(Level::Info, "closing_passed_on",
+             { { "flow", toString(key) }, { "next", toString(probe.remaining.front()) } });
+    // Without a balancer to reply to, its search ends without a result.
+    sendToHops({ .flags = frameflag::probe, .service = this->service }, probe.remaining,
+               probe.packet, sink);
+}
+
 void Agent::onLocate(const ForwardFrame &frame, const Segment &segment, Sink &sink)
 {
     const ServerFlow *flow = this->flows.find(segment.key);
@@ -369,6 +383,9 @@
         }
         sink.log(Level::Info, "flow_adopted", { { "flow", toString(key) } });
     }
+    if (flow == nullptr && probe != this->probes.end() && probe->second.isClosing
+        && !segment->has(tcpflag::rst) && !segment->isOpeningAnswer())
+        this->continueClosing(key, sink);
     if (flow != nullptr && flow->isPrecededBy(*segment)) {
         this->dropEarlier(key, sink);
         return;
