Take no revision of an earlier release for a version

Cause: messages of an earlier release have the store's revision in the place of the configuration's version, and no era. Agents compared the two and kept the limits of the higher number; balancers fetched a state that is not newer.

Ruled out: comparing by era alone, which a store without copies may not state.

Change: in messages without the era no version is known. A balancer does not answer hellos of such nodes as older ones: they would answer the answer, without an end.

Nodes of two releases were not run against each other.

--- a/mesh/balancerpeers.cpp
+++ b/mesh/balancerpeers.cpp
@@ -66,8 +66,11 @@
     this->greet(this->peers.add(hello.balancers, now), now, sink);
     this->onContacts(hello, now, sink);
     this->chooseFetch(now);
-    const bool isOlder = hello.configuration < this->fleet.configurationVersion()
-                         || hello.evacuationsAsOf < this->fleet.evacuationsAsOf();
+    // A node of an earlier release compares its revision with our version, and would answer the
+    // answer.
+    const bool isOlder = !hello.isOfEarlierRelease
+                         && (hello.configuration < this->fleet.configurationVersion()
+                             || hello.evacuationsAsOf < this->fleet.evacuationsAsOf());
     if (isOlder || hello.wantsAnswer)
         this->answerHello(hello, from, now, sink);
 }
--- a/mesh/peermessage.cpp
+++ b/mesh/peermessage.cpp
@@ -35,6 +35,13 @@
     return index < message.size() ? message.at(index).get<StoreEra>() : 0;
 }
 
+// Messages without an era have the store's revision in the place of the configuration's version.
+// The two must not be compared, so no version is known.
+ConfigurationVersion configurationFrom(const json &message, std::size_t index, std::size_t eraIndex)
+{
+    return eraIndex < message.size() ? message.at(index).get<ConfigurationVersion>() : 0;
+}
+
 // A list of the endpoints, then their ages in the same order.
 json contactsToJson(const std::vector<PeerSet::Contact> &contacts)
 {
@@ -195,7 +202,7 @@
 {
     return { .name = value.at(1),
              .zone = value.at(2),
-             .configuration = value.at(3),
+             .configuration = configurationFrom(value, 3, 14),
              .evacuationsAsOf = { .era = eraFrom(value, 14), .revision = value.at(4) },
              .isStoreReachable = value.at(5),
              .isLeaving = value.at(6),
@@ -206,7 +213,8 @@
              .interval = millisecondsFrom(value.at(11)),
              .balancers = endpointsFrom(value.at(12)),
              .contacts = contactsFrom(value.at(13)),
-             .knowsFormerTargets = value.size() > 15 && value.at(15).get<bool>() };
+             .knowsFormerTargets = value.size() > 15 && value.at(15).get<bool>(),
+             .isOfEarlierRelease = value.size() <= 14 };
 }
 
 AgentReport reportFrom(const json &value)
@@ -234,7 +242,7 @@
 
 BalancerNotice noticeFrom(const json &value)
 {
-    return { .configuration = value.at(1),
+    return { .configuration = configurationFrom(value, 1, 10),
              .evacuationsAsOf = { .era = eraFrom(value, 10), .revision = value.at(2) },
              .isZoneEvacuated = value.at(3),
              .limits = { .connections = value.at(4), .coldFlowsPerSecond = value.at(5) },
--- a/mesh/peermessage.h
+++ b/mesh/peermessage.h
@@ -41,6 +41,8 @@
     std::vector<PeerSet::Contact> contacts; // some of the live balancers, by turns
     // Not stated by balancers of an earlier release.
     bool knowsFormerTargets = false;
+    // Decoded only: the sender states no era, and no version of the configuration.
+    bool isOfEarlierRelease = false;
 };
 
 enum class ServerPhase : std::uint8_t {
