Judge what can be served by service times without waiting

Cause: the review of these parts found that a flow could be refused as unservable untruly: the expected wait used answer times, which for a low class include the time that the agent itself held the request, and counted lower classes against a higher one. Reports with six routes took 272 bytes where the intervals reckon with 200, up to 6.8 KB/s. A packet out of a chain of probes set a flow's terms back.

Ruled out: a wait per class at the agent, which needs the load per class; open.

Change: the mean over the routes' service times; flows of the highest class are not refused; the intervals follow the size of the last report; terms that are not stated change nothing; silence of an evacuated chain counts as an answer in vain.

--- a/mesh/agent.cpp
+++ b/mesh/agent.cpp
@@ -311,10 +311,10 @@
     return this->isStopping && phase != ServerPhase::Ended ? ServerPhase::Paused : phase;
 }
 
-std::chrono::milliseconds Agent::intervalFor(std::size_t recipients, double bytesPerSecond)
+std::chrono::milliseconds Agent::intervalFor(std::size_t recipients, double bytesPerSecond) const
 {
     const auto affordable = std::chrono::milliseconds(
-            std::int64_t(1000 * reportBytes * double(recipients) / bytesPerSecond));
+            std::int64_t(1000 * this->reportBytes * double(recipients) / bytesPerSecond));
     return std::max(reportInterval, affordable);
 }
 
@@ -400,6 +400,7 @@
         .knowsAllFlows = this->knowsAllFlows(),
     };
     const std::vector<std::uint8_t> bytes = encode(report);
+    this->reportBytes = std::max(minReportBytes, double(bytes.size()));
     for (const Endpoint &balancer : recipients) {
         this->sent.add(MessageKind::Report, this->balancers.isHome(balancer), bytes.size());
         sink.toNode(balancer, bytes, {});
--- a/mesh/agent.h
+++ b/mesh/agent.h
@@ -137,7 +137,7 @@
     // of the 7 KB/s allowed for control traffic.
     static constexpr double homeBytesPerSecond = 3000;
     static constexpr double remoteBytesPerSecond = 2000;
-    static constexpr double reportBytes = 200;
+    static constexpr double minReportBytes = 200;
     // An agent that has heard no balancer for this time, or for this many report intervals if that
     // is longer, reports to all of them each searchInterval.
     static constexpr std::chrono::milliseconds aloneTime{ 2000 };
@@ -282,7 +282,7 @@
     // Sends held requests for which the server has free slots.
     void releaseRequests(TimePoint now, Sink &sink);
     void expireRequests(TimePoint now, Sink &sink);
-    static std::chrono::milliseconds intervalFor(std::size_t recipients, double bytesPerSecond);
+    std::chrono::milliseconds intervalFor(std::size_t recipients, double bytesPerSecond) const;
 
     AgentOptions options;
     ServiceId service;
@@ -314,6 +314,7 @@
     std::map<Endpoint, TimePoint> newcomers; // and when they got a report
     TimePoint nextExpiry;
     std::size_t reportedFlows = 0;
+    double reportBytes = minReportBytes; // of the last report
     bool isStopping = false;
     bool stopped = false;
     TimePoint stoppingAt;
--- a/mesh/agentpackets.cpp
+++ b/mesh/agentpackets.cpp
@@ -81,7 +81,9 @@
     const std::size_t slots = this->record.slots();
     if (busy < slots)
         return Duration::zero();
-    const Duration measured = this->flows.load().serviceTime();
+    // The latency of a request that was held says nothing of the server.
+    const Duration measured = this->isScheduling() ? this->flows.costs().meanServiceTime()
+                                                   : this->flows.load().serviceTime();
     const Duration service = measured > Duration::zero() ? measured : Duration(assumedServiceTime);
     return service * std::int64_t(busy - slots + 1) / std::int64_t(slots);
 }
@@ -113,8 +115,10 @@
             this->forwardOpening(opening, segment, { "busy", true }, sink);
             return;
         }
-        // No request of the flow could be answered before its caller gives up.
-        if (this->isScheduling() && opening.terms.timeout > std::chrono::milliseconds::zero()
+        // No request of the flow could be answered before its caller gives up. Those of the highest
+        // class don't wait for the others.
+        if (this->isScheduling() && opening.terms.priority > 0
+            && opening.terms.timeout > std::chrono::milliseconds::zero()
             && this->expectedWait() > opening.terms.timeout) {
             ++this->counts.unservable;
             this->forwardOpening(opening, segment, { "unservable", false }, sink);
@@ -207,7 +211,9 @@
         this->reply(Verdict::Owner, segment.key, frame.replyTo, sink);
     }
     flow->balancer = frame.replyTo;
-    flow->terms = frame.terms;
+    // Frames of a chain of probes don't state the terms.
+    if (frame.terms != RequestTerms{})
+        flow->terms = frame.terms;
     this->flows.onCaller(*flow, segment, now);
     if (this->schedule(*flow, segment, now))
         this->sendToServer(segment.bytes, now, sink);
--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -222,8 +222,8 @@
 
 bool Balancer::needsDirectory(TimePoint now) const
 {
-    // A balancer that hears only agents may be unknown to the other balancers, and to the agents that
-    // start later.
+    // A balancer that hears only agents may be unknown to the other balancers, and to the agents
+    // that start later.
     return now - std::max(this->startedAt, this->peers.lastHeard()) > directoryDelay;
 }
 
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -193,7 +193,12 @@
                { "first_missing",
                  missing.empty() ? "none"
                                  : this->directory.at(missing.front()).report.name.value } });
-    this->applySearchStage(flowHash, search->onDeadline(), now, sink);
+    // The last agent of a chain does not answer once its domain's grace is over.
+    const bool isAnswerExpected =
+            std::any_of(missing.begin(), missing.end(), [&](AgentIndex agent) {
+                return !this->fleet.isEvacuated(this->directory.at(agent).report.zone, now);
+            });
+    this->applySearchStage(flowHash, search->onDeadline(isAnswerExpected), now, sink);
 }
 
 void Balancer::probe(std::uint64_t flowHash, FlowSearch &search, TimePoint now, Sink &sink)
--- a/mesh/flowsearch.cpp
+++ b/mesh/flowsearch.cpp
@@ -70,11 +70,11 @@
     this->until = now + listCheckTime;
 }
 
-SearchStage FlowSearch::onDeadline()
+SearchStage FlowSearch::onDeadline(bool isAnswerExpected)
 {
     // An agent that did not answer may own the flow. The search can still find the flow, but must
     // not declare it lost.
-    this->hasMissedDeadline = true;
+    this->hasMissedDeadline |= isAnswerExpected;
     this->plan.isComplete = false;
     this->plan.asked.clear();
     return this->advance();
--- a/mesh/flowsearch.h
+++ b/mesh/flowsearch.h
@@ -71,7 +71,8 @@
     // Waits until the list of agents is known to be complete.
     void startListCheck(TimePoint now);
     // The deadline has passed without all answers or reports. Returns the next stage.
-    SearchStage onDeadline();
+    // isAnswerExpected: false if all of those missing need not answer.
+    SearchStage onDeadline(bool isAnswerExpected = true);
 
     const FlowKey &key() const { return this->flow; }
     SearchStage stage() const { return this->currentStage; }
--- a/mesh/requestcost.cpp
+++ b/mesh/requestcost.cpp
@@ -61,6 +61,17 @@
     return it == this->routes.end() ? Duration::zero() : it->second.mean;
 }
 
+Duration RouteCosts::meanServiceTime() const
+{
+    Duration total{};
+    std::int64_t samples = 0;
+    for (const auto &[route, entry] : this->routes) {
+        total += entry.mean * std::int64_t(entry.samples);
+        samples += entry.samples;
+    }
+    return samples == 0 ? Duration::zero() : total / samples;
+}
+
 std::vector<RouteLoad> RouteCosts::loads(TimePoint now) const
 {
     std::vector<RouteLoad> loads;
--- a/mesh/requestcost.h
+++ b/mesh/requestcost.h
@@ -54,6 +54,8 @@
     std::vector<RouteLoad> loads(TimePoint now) const;
     // The mean service time of the route's requests; zero if none has been measured.
     Duration serviceTimeOf(Endpoint route) const;
+    // The same over all routes.
+    Duration meanServiceTime() const;
 
 private:
     static constexpr std::chrono::milliseconds rateTimeConstant{ 2000 };
