Begin the directory anew when balancers were heard meanwhile

Cause: a reading that ended early, since a balancer was heard, left its place; the next one, perhaps hours later, would have begun in the middle of the list.

Ruled out: always beginning with the first page; after a page that failed the place saves the pages before it.

Change: the place is given up once no directory is needed.

No test of its own covers the place.

--- a/meshd/eventloop.cpp
+++ b/meshd/eventloop.cpp
@@ -142,6 +142,8 @@
 {
     if (!this->handlers.needsDirectory(at)) {
         this->directoryInterval = firstDirectoryInterval;
+        if (!this->isDirectoryQueryPending)
+            this->directoryAfter.clear();
         return;
     }
     if (this->isDirectoryQueryPending || at < this->nextDirectoryQuery)
