Take no copy of a served request for a new one on an adopted flow

Cause: after all processes were killed, callers repeat requests whose answers were lost. On a flow that the new agent has adopted, such a copy counted as a new request: it took a slot of the server, which does not answer again, until the route's timeout.

Ruled out: the search alone, since windows from 40 s had late answers, not failures.

Change: what the server has acknowledged when a flow is adopted is known as the caller's data, so only data beyond it begins a request.

--- a/mesh/serverflows.cpp
+++ b/mesh/serverflows.cpp
@@ -80,7 +80,9 @@
     ServerFlow &flow = this->open(key, now);
     flow.serverSequence = serverPacket.sequence - adoptedRange;
     flow.serverNext = serverPacket.sequence;
+    // A copy of what the server has acknowledged is no new request.
     flow.callerNext = serverPacket.acknowledgement;
+    flow.hasCallerData = true;
     flow.isOpen = true;
     flow.isAnswered = true;
     this->endFresh(flow);
--- a/mesh/serverflows.h
+++ b/mesh/serverflows.h
@@ -31,7 +31,7 @@
     bool hasEnded = false; // one side has reset the flow, or both have finished it
     bool isCallerFinished = false;
     bool isServerFinished = false;
-    bool hasCallerData = false; // callerNext is known from a packet of the caller
+    bool hasCallerData = false; // callerNext is known
     bool isFresh = true; // the first request has not arrived yet
     bool isInProgress = false; // a request waits for the first byte of its response
     bool isAtServer = false; // the server has got this request; else the agent holds it
