Ask evacuated domains for open flows only within their grace

Cause: after all processes were killed while a domain was out, every search went along chains of the domain's agents too, which do not answer after the grace: a third more messages for agents that were overloaded, and 150 ms for each. New balancers, which had not heard all agents yet, counted packets as probed in vain and dropped the next ones of living flows.

Change: a balancer notes when it sees an evacuation begin, and asks the domain's agents that don't know all flows only in the 4 s after that. A balancer counts no probes before it has settled.

--- a/mesh/balancer.cpp
+++ b/mesh/balancer.cpp
@@ -195,6 +195,7 @@
 void Balancer::onStateChanged(const char *source, TimePoint now, Sink &sink)
 {
     ++this->counts.stateChanges;
+    this->noteEvacuations(now);
     const ConfigurationPointer &configuration = this->fleet.configuration();
     sink.log(Level::Info, "state_changed",
              { { "source", source },
@@ -211,6 +212,18 @@
     this->releaseStartupPackets(now, sink);
 }
 
+void Balancer::noteEvacuations(TimePoint now)
+{
+    const std::set<ZoneName> &evacuated = this->fleet.evacuated();
+    std::erase_if(this->evacuatedSince,
+                  [&](const auto &entry) { return !evacuated.contains(entry.first); });
+    // Those of the first state may have begun long before.
+    const TimePoint since = this->hadState ? now : now - evacuationGrace;
+    for (const ZoneName &zone : evacuated)
+        this->evacuatedSince.try_emplace(zone, since);
+    this->hadState |= this->fleet.evacuationsAsOf().revision != 0;
+}
+
 void Balancer::notifyAgents(bool withRemote, Sink &sink)
 {
     for (const AgentIndex index : this->directory.possibleOwners()) {
--- a/mesh/balancer.h
+++ b/mesh/balancer.h
@@ -184,6 +184,8 @@
     // be the case if its own agent has given up its flows: so few of them are probed in this time.
     static constexpr std::chrono::milliseconds probeWindow{ 2500 };
     static constexpr std::size_t probesPerWindow = 2;
+    // A little longer than agents of an evacuated domain serve open flows.
+    static constexpr std::chrono::milliseconds evacuationGrace{ 4000 };
     // From this copy of an opening packet on, the agent that accepted the flow is suspected to have
     // stopped, and another one may be chosen.
     static constexpr std::uint32_t agentSuspectCopy = 2;
@@ -255,6 +257,11 @@
     void onListChecked(AgentListCheck::Outcome outcome, TimePoint now, Sink &sink);
     // Asks again for the flow, after agents were added to the list.
     void searchAgain(std::uint64_t flowHash, TimePoint now, Sink &sink);
+    // True if the domain's evacuation has begun so recently that its agents still pass packets of
+    // open flows to their servers.
+    bool mayServeOpenFlows(const ZoneName &evacuated, TimePoint now) const;
+    // Notes when evacuations begin.
+    void noteEvacuations(TimePoint now);
     // True if enough packets of the flow have reached servers that don't have it.
     bool wasProbedInVain(std::uint64_t flowHash, TimePoint now) const;
     void countProbe(std::uint64_t flowHash, TimePoint now);
@@ -323,6 +330,8 @@
     FlowCache cache;
     FlowSearches searches;
     AgentListCheck listCheck;
+    bool hadState = false; // has known the evacuations in force
+    std::map<ZoneName, TimePoint> evacuatedSince;
     using ProbeTimes = std::array<TimePoint, probesPerWindow>; // of the last probes, oldest first
     std::map<std::uint64_t, ProbeTimes> probed; // by flow hash
     TokenBucket questions{ questionsPerSecond, questionBurst };
--- a/mesh/balancersearch.cpp
+++ b/mesh/balancersearch.cpp
@@ -93,12 +93,15 @@
             plan.asked.push_back(agent);
             sends.questions.push_back(agent);
         } else if (this->mayHold(key, agent)) {
-            const bool isEvacuated = this->fleet.isEvacuated(entry.report.zone, now);
-            (this->isHome(entry) && !isEvacuated ? chained : plan.unconfirmed).push_back(agent);
             // Some time after an evacuation, agents of the domain forward packets without
             // consulting their servers, so a chain through them rules nothing out.
+            const bool isEvacuated = this->fleet.isEvacuated(entry.report.zone, now);
             plan.isComplete &= !isEvacuated;
             plan.mayBeAbandoned |= isEvacuated;
+            if (!isEvacuated)
+                (this->isHome(entry) ? chained : plan.unconfirmed).push_back(agent);
+            else if (this->mayServeOpenFlows(entry.report.zone, now))
+                plan.unconfirmed.push_back(agent);
         } else if (!this->fleet.knowsFormerTargets()) {
             // The agent's service may have been a target of the address.
             plan.isComplete = false;
@@ -176,7 +179,8 @@
     } else if (stage == SearchStage::Unresolved) {
         ++this->counts.searchesExpired;
         sink.log(Level::Info, "search_unresolved", { { "flow", toString(search->key()) } });
-        if (search->mayBeAbandoned() && !search->isUnanswered())
+        // A new balancer may not have heard the flow's agent yet.
+        if (search->mayBeAbandoned() && !search->isUnanswered() && !this->isNew(now))
             this->countProbe(flowHash, now);
         this->searches.erase(flowHash);
     }
@@ -358,6 +362,12 @@
     }
 }
 
+bool Balancer::mayServeOpenFlows(const ZoneName &evacuated, TimePoint now) const
+{
+    const auto since = this->evacuatedSince.find(evacuated);
+    return since != this->evacuatedSince.end() && now - since->second < evacuationGrace;
+}
+
 bool Balancer::wasProbedInVain(std::uint64_t flowHash, TimePoint now) const
 {
     const auto it = this->probed.find(flowHash);
