Ask for emptiness as the linter wants it

Cause: clang-tidy refuses the comparison with an empty list in two checks of heldrequests_test.

Ruled out: an exception for the check.

Change: empty() in its place; the checks are as strict.

--- a/mesh/heldrequests_test.cpp
+++ b/mesh/heldrequests_test.cpp
@@ -145,7 +145,7 @@
     this->open(2);
     this->fromCaller(this->requestOf(1, 78));
     this->fromCaller(this->requestOf(2, 78));
-    BOOST_TEST((this->requestsOf(2) == Sequences{}));
+    BOOST_TEST(this->requestsOf(2).empty());
     this->fromServer(this->answerTo(1));
     BOOST_TEST((this->requestsOf(2) == Sequences{ 78 }));
 }
@@ -226,7 +226,7 @@
     BOOST_TEST(this->agent.load().inProgress() == 1u);
     this->fromCaller(this->requestOf(2, 78));
     BOOST_TEST(this->agent.requests().waiting() == 1u);
-    BOOST_TEST((this->requestsOf(2) == Sequences{}));
+    BOOST_TEST(this->requestsOf(2).empty());
     this->fromServer(this->answerTo(1));
     BOOST_TEST((this->requestsOf(2) == Sequences{ 78 }));
 }
