--- a/review/world-2/world.h
+++ b/review/world-2/world.hh
@@ -1,5 +1,5 @@
-#ifndef REVIEW_WORLD_2_WORLD_H
-#define REVIEW_WORLD_2_WORLD_H
+#ifndef REVIEW_WORLD_2_WORLD_HH
+#define REVIEW_WORLD_2_WORLD_HH
 
 // A small deployment on loopback for the review's scripts: the platform's store, its routers and
 // supervisor, backends and clients, as PROTOCOL.md and DEPLOY.md describe them. The balancers and
@@ -140,11 +140,11 @@
         for (std::uint16_t i = 0; i < 8; ++i) {
             for (const int type : { SOCK_STREAM, SOCK_DGRAM }) {
                 const int probe = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-                const sockaddr_in address = toAddress({ this->base + 1,
-                                                        std::uint16_t(this->ports + i) });
-                const bool isBound = ::bind(probe, reinterpret_cast<const sockaddr *>(&address),
-                                            sizeof address)
-                                     == 0;
+                const sockaddr_in address =
+                        toAddress({ this->base + 1, std::uint16_t(this->ports + i) });
+                const bool isBound =
+                        ::bind(probe, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                        == 0;
                 ::close(probe);
                 if (!isBound)
                     return false;
@@ -199,8 +199,7 @@
 {
     std::size_t sent = 0;
     while (sent < text.size()) {
-        const ssize_t count =
-                ::send(handle, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+        const ssize_t count = ::send(handle, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
         if (count <= 0)
             return false;
         sent += std::size_t(count);
@@ -334,8 +333,8 @@
         const auto old = this->objects[kind].find(name);
         if (old != this->objects[kind].end() && old->second["spec"] == spec)
             return old->second;
-        const json created = old == this->objects[kind].end() ? json(unixMs())
-                                                              : old->second["meta"]["created"];
+        const json created =
+                old == this->objects[kind].end() ? json(unixMs()) : old->second["meta"]["created"];
         const json object = { { "meta",
                                 { { "name", name },
                                   { "revision", ++this->revision },
@@ -378,10 +377,10 @@
             json items = json::array();
             for (const auto &[key, object] : this->objects[kind])
                 items.push_back(object);
-            return responseText(200, json{ { "items", items },
-                                           { "truncated", false },
-                                           { "as_of", this->revision } }
-                                             .dump());
+            return responseText(
+                    200,
+                    json{ { "items", items }, { "truncated", false }, { "as_of", this->revision } }
+                            .dump());
         }
         const auto &known = this->objects[kind];
         if (method == "GET") {
@@ -546,14 +545,10 @@
 
     json body() const
     {
-        return { { "service", this->service },
-                 { "address", toString(this->address) },
-                 { "zone", this->zone },
-                 { "version", "v1" },
-                 { "concurrency", 9 },
-                 { "state", this->state },
-                 { "warmup_left_ms", 0 },
-                 { "born", this->born },
+        return { { "service", this->service },  { "address", toString(this->address) },
+                 { "zone", this->zone },        { "version", "v1" },
+                 { "concurrency", 9 },          { "state", this->state },
+                 { "warmup_left_ms", 0 },       { "born", this->born },
                  { "sequence", this->sequence } };
     }
     std::string path() const { return "/v1/instances/" + this->instance + "/heartbeat"; }
@@ -689,9 +684,9 @@
             this->send(key, syn | ack, found->second.first, packet->sequence + 1);
             return;
         }
-        const bool isHeld = found != this->flows.end()
-                            && (found->second.isOpen
-                                || packet->acknowledgement == found->second.first + 1);
+        const bool isHeld =
+                found != this->flows.end()
+                && (found->second.isOpen || packet->acknowledgement == found->second.first + 1);
         if (this->onPacket)
             this->onPacket(key, isHeld);
         if (!isHeld) {
@@ -944,13 +939,13 @@
         for (int i = 0; i < std::min(3, this->options.balancers); ++i)
             seeds.push_back(std::uint32_t(10 + i));
         for (int i = 0; i < this->options.balancers; ++i)
-            this->balancers.push_back(std::make_unique<Node>(
-                    this->net, "balancer", std::uint32_t(10 + i), this->zoneOf(i), seeds,
-                    this->folder, ""));
+            this->balancers.push_back(std::make_unique<Node>(this->net, "balancer",
+                                                             std::uint32_t(10 + i), this->zoneOf(i),
+                                                             seeds, this->folder, ""));
         for (int i = 0; i < this->options.agents; ++i)
-            this->agents.push_back(std::make_unique<Node>(
-                    this->net, "agent", this->backendHost(i), this->zoneOf(i), seeds, this->folder,
-                    service));
+            this->agents.push_back(std::make_unique<Node>(this->net, "agent", this->backendHost(i),
+                                                          this->zoneOf(i), seeds, this->folder,
+                                                          service));
     }
     ~Deployment()
     {
@@ -1067,9 +1062,8 @@
     }
     Client &addClient(int index)
     {
-        this->clients.push_back(std::make_unique<Client>(*this, std::uint32_t(100 + index),
-                                                         std::uint16_t(1024 + index),
-                                                         this->route()));
+        this->clients.push_back(std::make_unique<Client>(
+                *this, std::uint32_t(100 + index), std::uint16_t(1024 + index), this->route()));
         return *this->clients.back();
     }
     // The router: the daemon in rotation with the highest hash gets the packet.
@@ -1123,8 +1117,7 @@
     : world(deployment)
     , self{ deployment.net.base + host, sport }
     , route(flowRoute)
-    , socket({ deployment.net.base + host,
-               std::uint16_t(deployment.net.ports + Port::packets) })
+    , socket({ deployment.net.base + host, std::uint16_t(deployment.net.ports + Port::packets) })
 { }
 
 inline void Client::send(std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledgement,
@@ -1230,8 +1223,7 @@
         this->received += std::uint32_t(packet.data.size());
         if (!this->pending.empty()) {
             this->sent += std::uint32_t(this->pending.size());
-            record.add("client %s: answer '%s'", toString(this->self).c_str(),
-                       packet.data.c_str());
+            record.add("client %s: answer '%s'", toString(this->self).c_str(), packet.data.c_str());
             this->pending.clear();
             ++this->answers;
         }
@@ -1248,4 +1240,4 @@
 
 } // namespace world
 
-#endif // REVIEW_WORLD_2_WORLD_H
+#endif // REVIEW_WORLD_2_WORLD_HH
